Serve a request end to end through log, router and engine

Cause: the project is empty; the first issue asks for the whole path, thin, as separate processes.

Before: nothing.

--- /dev/null
+++ b/src/policy/judgement.cpp
@@ -0,0 +1,86 @@
+//===- judgement.cpp - Judging versions and stepping roll-outs ------------===//
+//
+// The test is a cumulative sum of log-likelihood ratios between the agreed
+// share and a clearly worse one. It forgets good times, so a version that
+// turns bad after long service trips as fast as a new one.
+//
+//===----------------------------------------------------------------------===//
+
+#include "berylramp/policy.h"
+
+#include "absl/strings/str_cat.h"
+#include <algorithm>
+#include <cmath>
+
+namespace berylramp {
+
+namespace {
+
+constexpr double LeastShare = 0.05;
+constexpr double MostShare = 0.99;
+constexpr int WholeTraffic = 100;
+constexpr const char *FleetAuthor = "berylramp";
+
+CellChange setCell(const std::string &RowKey, const char *Field,
+                   std::string Value) {
+  return CellChange{RowKey, Field, std::move(Value), false};
+}
+
+} // namespace
+
+void addRating(VersionTest &Test, bool IsGood, double AgreedShare) {
+  double Agreed = std::clamp(AgreedShare, LeastShare, MostShare);
+  double Worse = Agreed * BadShareFactor;
+  double Step =
+      IsGood ? std::log(Worse / Agreed) : std::log((1 - Worse) / (1 - Agreed));
+  Test.Evidence = std::max(0.0, Test.Evidence + Step);
+  ++(IsGood ? Test.Good : Test.Bad);
+}
+
+bool hasTripped(const VersionTest &Test) {
+  return Test.Evidence >= TripEvidence;
+}
+
+int candidateRoom(int FleetWide, size_t LiveHosts) {
+  int Hosts = static_cast<int>(std::max<size_t>(1, LiveHosts));
+  return std::max(1, FleetWide / Hosts);
+}
+
+int nextRolloutPercent(const RolloutRow &Row, int64_t RatedSinceStep) {
+  if (Row.Percent <= 0 || RatedSinceStep < Row.EvidencePerStep)
+    return -1;
+  for (int Step : Row.Steps) {
+    if (Step > Row.Percent)
+      return Step;
+  }
+  return -1;
+}
+
+Edit makeRolloutStep(const RolloutRow &Row, int NextPercent, Offset Base) {
+  std::string Name = Row.Model.text() + "/" + Row.Candidate.text();
+  Edit Out;
+  Out.Id =
+      EditId(absl::StrCat("rollout:", Name, ":", Row.Run, ":", NextPercent));
+  Out.Author = FleetAuthor;
+  Out.Base = Base;
+  Out.Note = absl::StrCat("roll-out step from ", Row.Percent, " to ",
+                          NextPercent, " percent");
+  Out.Changes.push_back(setCell("rollout/" + Row.Model.text(), "percent",
+                                absl::StrCat(NextPercent)));
+  if (NextPercent == WholeTraffic)
+    Out.Changes.push_back(setCell("version/" + Name, "state", "serving"));
+  return Out;
+}
+
+Edit makeHold(const VersionKey &Version, const std::string &Run,
+              const std::string &Evidence, Offset Base) {
+  Edit Out;
+  Out.Id = EditId(absl::StrCat("hold:", Version.text(), ":", Run));
+  Out.Author = FleetAuthor;
+  Out.Base = Base;
+  Out.Note = "held: " + Evidence;
+  Out.Changes.push_back(setCell("version/" + Version.text(), "state", "held"));
+  return Out;
+}
+
+} // namespace berylramp
--- /dev/null
+++ b/src/policy/plan.cpp
@@ -0,0 +1,220 @@
+//===- plan.cpp - The cheapest plan that meets the agreed quality ---------===//
+//
+// A cascade rates a cheap answer and escalates when it is not good. Its share
+// is what the cheap version reaches, plus what the dear one reaches of the
+// rest. It needs the rater, and time for both answers before the deadline.
+//
+//===----------------------------------------------------------------------===//
+
+#include "berylramp/policy.h"
+
+#include "absl/strings/str_format.h"
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace berylramp {
+
+namespace {
+
+/// The operator's expectation counts as this many ratings.
+constexpr double PriorWeight = 20;
+/// Standard deviations below the mean that a cautious share lies.
+constexpr double Caution = 1.3;
+constexpr int64_t TokensPerPricedUnit = 1000;
+
+constexpr std::array<const char *, 6> PolicyNames = {
+    "largest",         "round-robin", "least-loaded",
+    "static-cheapest", "direct",      "cascade"};
+
+struct Weighed {
+  const PlanOption *Option;
+  double Share;
+  double Mean;
+  double Cost;
+};
+
+double costOf(const PlanOption &Option, const PlanInput &Input) {
+  return static_cast<double>(
+      answerCost(Option.Row, Input.In, Input.Out).count());
+}
+
+std::vector<Weighed> weigh(const PlanInput &Input) {
+  std::vector<Weighed> Out;
+  Out.reserve(Input.Options.size());
+  for (const PlanOption &Option : Input.Options)
+    Out.push_back(Weighed{&Option, cautiousShare(Option.Belief, Option.Row),
+                          expectedShare(Option.Belief, Option.Row),
+                          costOf(Option, Input)});
+  std::sort(Out.begin(), Out.end(), [](const Weighed &A, const Weighed &B) {
+    if (A.Cost != B.Cost)
+      return A.Cost < B.Cost;
+    return A.Option->Row.Key < B.Option->Row.Key;
+  });
+  return Out;
+}
+
+Plan directPlan(const Weighed &Which, const char *Why) {
+  Plan Out;
+  Out.Found = true;
+  Out.First = Which.Option->Row.Key;
+  Out.ExpectedCost = MicroCost(std::llround(Which.Cost));
+  Out.ExpectedShare = Which.Share;
+  Out.Why = absl::StrFormat("%s: share %.3f, cost %.0f", Why, Which.Share,
+                            Which.Cost);
+  return Out;
+}
+
+Plan cascadePlan(const Weighed &Cheap, const Weighed &Dear) {
+  Plan Out;
+  Out.Found = true;
+  Out.IsCascade = true;
+  Out.First = Cheap.Option->Row.Key;
+  Out.Escalate = Dear.Option->Row.Key;
+  double Cost = Cheap.Cost + (1 - Cheap.Mean) * Dear.Cost;
+  Out.ExpectedCost = MicroCost(std::llround(Cost));
+  Out.ExpectedShare = Cheap.Share + (1 - Cheap.Share) * Dear.Share;
+  Out.Why = absl::StrFormat("cascade: share %.3f, cost %.0f", Out.ExpectedShare,
+                            Cost);
+  return Out;
+}
+
+bool fitsDeadline(const PlanOption &Option, const PlanInput &Input) {
+  return Option.ExpectedTime <= Input.Kind.Deadline;
+}
+
+bool cascadeFitsDeadline(const PlanOption &Cheap, const PlanOption &Dear,
+                         const PlanInput &Input) {
+  return Cheap.ExpectedTime + Input.RatingTime + Dear.ExpectedTime <=
+         Input.Kind.Deadline;
+}
+
+const Weighed &largest(const std::vector<Weighed> &All) { return All.back(); }
+
+/// Among versions of equal cost the weights share the traffic.
+const Weighed &byWeight(const std::vector<Weighed> &All, const Weighed &Chosen,
+                        double Share, uint64_t Turn) {
+  int Sum = 0;
+  for (const Weighed &Each : All) {
+    if (Each.Cost == Chosen.Cost && Each.Share >= Share)
+      Sum += Each.Option->Row.Weight;
+  }
+  if (Sum == 0)
+    return Chosen;
+  int Draw = static_cast<int>(Turn % static_cast<uint64_t>(Sum));
+  for (const Weighed &Each : All) {
+    if (Each.Cost != Chosen.Cost || Each.Share < Share)
+      continue;
+    Draw -= Each.Option->Row.Weight;
+    if (Draw < 0)
+      return Each;
+  }
+  return Chosen;
+}
+
+Plan cheapestMeeting(const std::vector<Weighed> &All, const PlanInput &Input,
+                     bool WithCascade) {
+  Plan Best;
+  for (const Weighed &Each : All) {
+    if (Each.Share < Input.Kind.Share || !fitsDeadline(*Each.Option, Input))
+      continue;
+    Best = directPlan(byWeight(All, Each, Input.Kind.Share, Input.Turn),
+                      "cheapest that meets the share");
+    break;
+  }
+  if (!WithCascade || !Input.RaterAnswers)
+    return Best;
+  for (const Weighed &Cheap : All) {
+    for (const Weighed &Dear : All) {
+      if (Dear.Cost <= Cheap.Cost ||
+          !cascadeFitsDeadline(*Cheap.Option, *Dear.Option, Input))
+        continue;
+      Plan Candidate = cascadePlan(Cheap, Dear);
+      if (Candidate.ExpectedShare < Input.Kind.Share)
+        continue;
+      if (!Best.Found || Candidate.ExpectedCost < Best.ExpectedCost)
+        Best = Candidate;
+    }
+  }
+  return Best;
+}
+
+Plan bestEffort(const std::vector<Weighed> &All) {
+  const Weighed *Best = &All.front();
+  for (const Weighed &Each : All) {
+    if (Each.Share > Best->Share)
+      Best = &Each;
+  }
+  Plan Out = directPlan(*Best, "no plan meets the share; best there is");
+  Out.BelowShare = true;
+  return Out;
+}
+
+Plan leastLoaded(const std::vector<Weighed> &All) {
+  const Weighed *Best = &All.front();
+  for (const Weighed &Each : All) {
+    if (Each.Option->Wait < Best->Option->Wait)
+      Best = &Each;
+  }
+  return directPlan(*Best, "least loaded");
+}
+
+} // namespace
+
+const char *planPolicyName(PlanPolicy Policy) {
+  return PolicyNames[static_cast<size_t>(Policy)];
+}
+
+bool parsePlanPolicy(const std::string &Name, PlanPolicy &Out) {
+  for (size_t I = 0; I < PolicyNames.size(); ++I) {
+    if (Name == PolicyNames[I]) {
+      Out = static_cast<PlanPolicy>(I);
+      return true;
+    }
+  }
+  return false;
+}
+
+double expectedShare(const QualityBelief &Belief, const VersionRow &Row) {
+  return (Belief.Good + PriorWeight * Row.ExpectedShare) /
+         (Belief.Rated + PriorWeight);
+}
+
+double cautiousShare(const QualityBelief &Belief, const VersionRow &Row) {
+  double Mean = expectedShare(Belief, Row);
+  // Without any rating the operator's word is all there is.
+  if (Belief.Rated <= 0)
+    return Mean;
+  double Deviation =
+      std::sqrt(Mean * (1 - Mean) / (Belief.Rated + PriorWeight));
+  return std::max(0.0, Mean - Caution * Deviation);
+}
+
+MicroCost answerCost(const VersionRow &Row, Tokens In, Tokens Out) {
+  int64_t Total =
+      Row.CostIn.count() * In.count() + Row.CostOut.count() * Out.count();
+  return MicroCost((Total + TokensPerPricedUnit - 1) / TokensPerPricedUnit);
+}
+
+Plan makePlan(PlanPolicy Policy, const PlanInput &Input) {
+  std::vector<Weighed> All = weigh(Input);
+  if (All.empty())
+    return Plan{};
+  switch (Policy) {
+  case PlanPolicy::Largest:
+    return directPlan(largest(All), "largest");
+  case PlanPolicy::RoundRobin:
+    return directPlan(All[Input.Turn % All.size()], "round robin");
+  case PlanPolicy::LeastLoaded:
+    return leastLoaded(All);
+  case PlanPolicy::StaticCheapest:
+    return directPlan(All.front(), "cheapest");
+  case PlanPolicy::Direct:
+  case PlanPolicy::Cascade:
+    break;
+  }
+  Plan Out = cheapestMeeting(All, Input, Policy == PlanPolicy::Cascade);
+  return Out.Found ? Out : bestEffort(All);
+}
+
+} // namespace berylramp
--- /dev/null
+++ b/src/router/fleet_link.cpp
@@ -0,0 +1,383 @@
+//===- fleet_link.cpp - Gossip with the other entry hosts -----------------===//
+//
+// An exchange is symmetrical: request and answer have the same form, and both
+// sides take what the other sent. Records travel with their age.
+//
+//===----------------------------------------------------------------------===//
+
+#include "fleet_link.h"
+
+#include "berylramp/json.h"
+
+#include <algorithm>
+
+namespace berylramp::internal {
+
+namespace {
+
+/// One exchange in this many goes to another place.
+constexpr int64_t AcrossEvery = 3;
+/// Hosts not heard lately are tried at one exchange in this many only.
+constexpr int64_t SilentEvery = 4;
+/// Hosts asked directly about one edit, at most.
+constexpr size_t MaxAskedAboutEdit = 64;
+constexpr size_t MaxWatches = 256;
+/// Recently written records that go along unasked.
+constexpr size_t MaxHotMembers = 8;
+constexpr int64_t NeverConfirmed = -1;
+
+} // namespace
+
+FleetLink::FleetLink(RouterContext &Context, ConfigFollower &Config)
+    : Context(Context), Config(Config) {
+  this->View.Self = Context.Settings.Host;
+}
+
+void FleetLink::start(const Endpoint &Listening,
+                      std::function<void(Member &)> Call) {
+  this->Address = Listening;
+  this->Describe = std::move(Call);
+  this->refreshSelf();
+  this->Ticking = this->Context.Timer.every(this->Context.Settings.GossipEvery,
+                                            [this] { this->tick(); });
+}
+
+void FleetLink::stop() { this->Context.Timer.cancel(this->Ticking); }
+
+void FleetLink::refreshSelf() {
+  ConfigView Table = this->Config.view();
+  Member Said;
+  if (this->Describe)
+    this->Describe(Said);
+  absl::MutexLock Hold(&this->Lock);
+  KnownMember &Self = this->View.Members[this->Context.Settings.Host];
+  Member &What = Self.What;
+  Said.Host = this->Context.Settings.Host;
+  Said.Life = this->Context.Life;
+  Said.Heartbeat = What.Heartbeat + 1;
+  Said.Place = this->Context.Settings.Place;
+  Said.Address = this->Address;
+  Said.Leaving = What.Leaving;
+  Said.Finished = What.Finished;
+  Said.TableDigest = Table.Digest;
+  // A host whose table differs from its peers' confirms nothing new.
+  Said.Applied =
+      this->Diverged ? this->ConfirmedBeforeDivergence : Table.State->Applied;
+  What = std::move(Said);
+  Self.WrittenAt = this->Context.Timer.now();
+}
+
+void FleetLink::setLeaving() {
+  this->Leaving = true;
+  absl::MutexLock Hold(&this->Lock);
+  this->View.Members[this->Context.Settings.Host].What.Leaving = true;
+}
+
+void FleetLink::setFinished() {
+  absl::MutexLock Hold(&this->Lock);
+  this->View.Members[this->Context.Settings.Host].What.Finished = true;
+}
+
+void FleetLink::tick() {
+  this->refreshSelf();
+  Instant Now = this->Context.Timer.now();
+  if (this->freshness() == Freshness::Fresh) {
+    absl::MutexLock Hold(&this->Lock);
+    forgetSilent(this->View, this->Context.Settings.Times, Now);
+    this->View.KnownFloor = 0;
+    this->View.KnownFloor = countKnown(this->View);
+  }
+  ++this->Ticks;
+  PeerAddress Peer;
+  if (this->pickPeer(this->Ticks % AcrossEvery == 0, Peer))
+    this->exchangeWith(Peer);
+}
+
+std::vector<PeerAddress> FleetLink::candidates() const {
+  std::map<HostId, PeerAddress> Found;
+  for (const PeerSeed &Seed : this->Context.Settings.Peers)
+    Found[Seed.Host] = PeerAddress{Seed.Host, PlaceId(), Seed.Address};
+  absl::MutexLock Hold(&this->Lock);
+  for (const PeerAddress &Each : this->Listed)
+    Found[Each.Host] = Each;
+  Instant Now = this->Context.Timer.now();
+  bool TryTheSilent = this->Ticks % SilentEvery == 0;
+  for (const auto &[Host, Known] : this->View.Members) {
+    bool IsSilent =
+        Now - Known.WrittenAt > this->Context.Settings.Times.HeardWithin;
+    if (Known.Gone || (IsSilent && !TryTheSilent))
+      Found.erase(Host);
+    else
+      Found[Host] = PeerAddress{Host, Known.What.Place, Known.What.Address};
+  }
+  Found.erase(this->Context.Settings.Host);
+  std::vector<PeerAddress> Out;
+  Out.reserve(Found.size());
+  for (const auto &[Host, Each] : Found)
+    Out.push_back(Each);
+  return Out;
+}
+
+std::vector<PeerAddress> FleetLink::peers() const {
+  FleetView Copy = this->view();
+  Instant Now = this->Context.Timer.now();
+  std::vector<PeerAddress> Out;
+  for (const HostId &Host :
+       liveMembers(Copy, this->Context.Settings.Times, Now)) {
+    const Member &What = Copy.Members[Host].What;
+    if (Host != Copy.Self)
+      Out.push_back(PeerAddress{Host, What.Place, What.Address});
+  }
+  return Out;
+}
+
+bool FleetLink::pickPeer(bool Across, PeerAddress &Out) {
+  std::vector<PeerAddress> Wanted;
+  std::vector<PeerAddress> All = this->candidates();
+  for (const PeerAddress &Each : All) {
+    bool IsAcross = Each.Place != this->Context.Settings.Place;
+    if (IsAcross == Across)
+      Wanted.push_back(Each);
+  }
+  if (Wanted.empty())
+    Wanted = std::move(All);
+  if (Wanted.empty())
+    return false;
+  absl::MutexLock Hold(&this->Lock);
+  Out = Wanted[absl::Uniform<size_t>(this->Draws, 0, Wanted.size())];
+  return true;
+}
+
+Json::Value FleetLink::makeMessage() {
+  Instant Now = this->Context.Timer.now();
+  ViewEvidence Evidence = this->Config.evidence();
+  ConfigView Table = this->Config.view();
+  Json::Value Out;
+  Out["confirm_age_ms"] = Json::Int64(
+      Evidence.EverConfirmed
+          ? absl::ToInt64Milliseconds(Now - Evidence.ConfirmedAt) + 1
+          : NeverConfirmed);
+  Out["applied"] = Json::Int64(Table.State->Applied.count());
+  Out["table"] = hexText(Table.Digest);
+  absl::MutexLock Hold(&this->Lock);
+  Out["floor"] = Json::UInt64(countKnown(this->View));
+  Out["digest"] = digestToJson(makeDigest(this->View));
+  return Out;
+}
+
+void FleetLink::exchangeWith(const PeerAddress &Peer) {
+  Json::Value Message = this->makeMessage();
+  {
+    absl::MutexLock Hold(&this->Lock);
+    std::vector<AgedMember> Hot =
+        newerThan(this->View, {}, this->Context.Timer.now());
+    if (Hot.size() > MaxHotMembers)
+      Hot.resize(MaxHotMembers);
+    Message["members"] = agedMembersToJson(Hot);
+  }
+  Message["from"] = this->Address.text();
+  Instant Began = this->Context.Timer.now();
+  absl::StatusOr<Json::Value> Answer =
+      this->Context.Ports.Peers.Call(Peer.Address, "exchange", Message);
+  this->Context.Counts.count(Answer.ok() ? Counter::PeerExchanges
+                                         : Counter::PeerExchangeFailures);
+  if (Answer.ok())
+    this->takeMessage(*Answer, Began, Peer.Address);
+}
+
+absl::StatusOr<Json::Value> FleetLink::onExchange(const Json::Value &Params) {
+  // The peer's own evidence may be as old as its message says; how long the
+  // message was under way is unknown here, so no confirmation is taken from a
+  // request, only from an answer, whose round trip this host has timed.
+  Instant Now = this->Context.Timer.now();
+  Json::Value Answer = this->makeMessage();
+  {
+    absl::MutexLock Hold(&this->Lock);
+    for (const AgedMember &Each :
+         agedMembersFromJson(memberAt(Params, "members")))
+      mergeMember(this->View, Each.What, Each.Age, Now);
+    Answer["members"] = agedMembersToJson(
+        newerThan(this->View, digestFromJson(memberAt(Params, "digest")), Now));
+  }
+  this->compareTables(Params);
+  return Answer;
+}
+
+void FleetLink::takeMessage(const Json::Value &Message, Instant Began,
+                            const Endpoint &From) {
+  // Ages count from when the exchange began, so that the time under way makes
+  // records and confirmations older, never younger.
+  {
+    absl::MutexLock Hold(&this->Lock);
+    for (const AgedMember &Each :
+         agedMembersFromJson(memberAt(Message, "members")))
+      mergeMember(this->View, Each.What, Each.Age, Began);
+    size_t Floor = static_cast<size_t>(std::clamp<int64_t>(
+        intAt(Message, "floor"), 0, static_cast<int64_t>(1) << 20));
+    this->View.KnownFloor = std::max(this->View.KnownFloor, Floor);
+  }
+  this->compareTables(Message);
+  Offset Theirs(intAt(Message, "applied", -1));
+  if (Theirs > this->Config.view().State->Applied) {
+    this->catchUpFrom(From, Theirs);
+    return;
+  }
+  int64_t AgeMillis = intAt(Message, "confirm_age_ms", NeverConfirmed);
+  if (AgeMillis >= 0 && !this->hasDiverged())
+    this->Config.confirm(Began + -absl::Milliseconds(AgeMillis));
+}
+
+void FleetLink::compareTables(const Json::Value &Message) {
+  ConfigView Table = this->Config.view();
+  if (Offset(intAt(Message, "applied", -1)) != Table.State->Applied)
+    return;
+  bool Differs = textAt(Message, "table") != hexText(Table.Digest);
+  if (Differs) {
+    this->Context.Counts.count(Counter::DigestMismatches);
+    logEvent(LogLevel::Error, "table_digest_differs");
+  }
+  absl::MutexLock Hold(&this->Lock);
+  if (!Differs)
+    this->ConfirmedBeforeDivergence = Table.State->Applied;
+  this->Diverged = Differs;
+}
+
+void FleetLink::catchUpFrom(const Endpoint &From, Offset Theirs) {
+  // The log is the usual way; a peer helps when the log does not answer or no
+  // longer holds what is missing.
+  if (this->Config.isLogUp() && !this->Config.hasGap())
+    return;
+  absl::StatusOr<Json::Value> Answer = this->Context.Ports.Peers.Call(
+      From, "config_snapshot", Json::Value(Json::objectValue));
+  if (!Answer.ok())
+    return;
+  absl::Status Adopted = this->Config.adopt(textAt(*Answer, "snapshot"));
+  if (Adopted.ok())
+    return;
+  Json::Value Fields;
+  Fields["offset"] = Json::Int64(Theirs.count());
+  Fields["why"] = std::string(Adopted.message());
+  logEvent(LogLevel::Warn, "peer_snapshot_refused", Fields);
+}
+
+void FleetLink::tellAll() {
+  this->refreshSelf();
+  for (const PeerAddress &Peer : this->peers())
+    this->exchangeWith(Peer);
+}
+
+FleetView FleetLink::view() const {
+  absl::MutexLock Hold(&this->Lock);
+  return this->View;
+}
+
+Freshness FleetLink::freshness() const {
+  ViewEvidence Evidence = this->Config.evidence();
+  Instant Now = this->Context.Timer.now();
+  // The common case needs no look at the members.
+  if (Evidence.EverConfirmed &&
+      Now - Evidence.ConfirmedAt <= this->Context.Settings.Times.FreshnessBound)
+    return Freshness::Fresh;
+  absl::MutexLock Hold(&this->Lock);
+  return judgeFreshness(Evidence, this->View, this->Context.Settings.Times,
+                        Now);
+}
+
+Acknowledgement FleetLink::acknowledge(Offset At) {
+  this->refreshSelf();
+  auto Judge = [this, At] {
+    absl::MutexLock Hold(&this->Lock);
+    EditWatch &Watch = this->Watches[At];
+    if (Watch.At == NoOffset)
+      Watch = EditWatch{At, this->Context.Timer.now(), false, Instant{}};
+    Acknowledgement Out =
+        judgeAcknowledgement(this->View, Watch, this->Context.Settings.Times,
+                             this->Context.Timer.now());
+    if (this->Watches.size() > MaxWatches)
+      this->Watches.erase(this->Watches.begin());
+    return Out;
+  };
+  Acknowledgement First = Judge();
+  if (First.InForce)
+    return First;
+  size_t Asked = 0;
+  for (const HostId &Host : First.Missing) {
+    PeerAddress Peer{Host, PlaceId(), Endpoint{}};
+    if (!this->addressOf(Host, Peer.Address) || Host == this->View.Self)
+      continue;
+    this->exchangeWith(Peer);
+    if (++Asked == MaxAskedAboutEdit)
+      break;
+  }
+  return Judge();
+}
+
+bool FleetLink::isPeerGone(const HostId &Host, Incarnation Life) const {
+  absl::MutexLock Hold(&this->Lock);
+  return isGone(this->View, Host, Life, this->Context.Settings.Times,
+                this->Context.Timer.now());
+}
+
+bool FleetLink::addressOf(const HostId &Host, Endpoint &Out) const {
+  absl::MutexLock Hold(&this->Lock);
+  auto Found = this->View.Members.find(Host);
+  if (Found == this->View.Members.end())
+    return false;
+  Out = Found->second.What.Address;
+  return true;
+}
+
+OthersDemand FleetLink::demandOfOthers(const WorkspaceId &Workspace) const {
+  absl::MutexLock Hold(&this->Lock);
+  return othersDemand(this->View, Workspace, this->Context.Settings.Times,
+                      this->Context.Timer.now());
+}
+
+size_t FleetLink::liveCount() const {
+  absl::MutexLock Hold(&this->Lock);
+  return liveMembers(this->View, this->Context.Settings.Times,
+                     this->Context.Timer.now())
+      .size();
+}
+
+std::vector<EntryAddress> FleetLink::entries(const PlaceId &Near) const {
+  absl::MutexLock Hold(&this->Lock);
+  return entryAddresses(this->View, Near, this->Context.Settings.Times,
+                        this->Context.Timer.now());
+}
+
+RatingTally FleetLink::ratings(const RequestKindId &Kind,
+                               const VersionKey &Key) const {
+  absl::MutexLock Hold(&this->Lock);
+  return sumRatings(this->View, Kind, Key);
+}
+
+std::vector<VersionTrip> FleetLink::trips() const {
+  std::vector<VersionTrip> Out;
+  absl::MutexLock Hold(&this->Lock);
+  for (const auto &[Host, Known] : this->View.Members) {
+    for (const VersionTrip &Trip : Known.What.Trips) {
+      if (std::find(Out.begin(), Out.end(), Trip) == Out.end())
+        Out.push_back(Trip);
+    }
+  }
+  return Out;
+}
+
+bool FleetLink::hasDiverged() const {
+  absl::MutexLock Hold(&this->Lock);
+  return this->Diverged;
+}
+
+void FleetLink::learnListed(const std::vector<ListedHost> &Hosts) {
+  std::vector<PeerAddress> Entries;
+  for (const ListedHost &Each : Hosts) {
+    if (Each.Role == HostRole::Entry)
+      Entries.push_back(
+          PeerAddress{HostId(Each.Name), Each.Place, Each.Address});
+  }
+  absl::MutexLock Hold(&this->Lock);
+  this->Listed = std::move(Entries);
+}
+
+} // namespace berylramp::internal
--- /dev/null
+++ b/src/router/rollout_driver.cpp
@@ -0,0 +1,107 @@
+//===- rollout_driver.cpp - Steps roll-outs and appends holds -------------===//
+//
+// The evidence for a step is the fleet's ratings since the step began, as this
+// host has heard them. A host that heard of the step later waits longer; that
+// only makes a roll-out slower.
+//
+//===----------------------------------------------------------------------===//
+
+#include "rollout_driver.h"
+
+#include "absl/strings/str_cat.h"
+#include <algorithm>
+
+namespace berylramp::internal {
+
+namespace {
+
+constexpr absl::Duration DriveEvery = absl::Milliseconds(500);
+
+} // namespace
+
+RolloutDriver::RolloutDriver(RouterParts &Parts) : Parts(Parts) {}
+
+void RolloutDriver::start() {
+  this->Ticking =
+      this->Parts.Context.Timer.every(DriveEvery, [this] { this->tick(); });
+}
+
+void RolloutDriver::stop() { this->Parts.Context.Timer.cancel(this->Ticking); }
+
+void RolloutDriver::tick() {
+  ConfigView View = this->Parts.Config.view();
+  this->holdTripped(View);
+  if (this->Parts.Fleet.freshness() == Freshness::Fresh)
+    this->stepRollouts(View);
+}
+
+void RolloutDriver::append(const Edit &Which) {
+  ConfigView View = this->Parts.Config.view();
+  if (findOutcome(*View.State, Which.Id) != nullptr)
+    return;
+  absl::StatusOr<Offset> At = this->Parts.Context.Ports.Log.Append(
+      ConfigStream,
+      encodeEdit(Which,
+                 OperatorKeys{this->Parts.Context.Settings.OperatorKeys}));
+  if (!At.ok())
+    this->Parts.Context.Counts.count(Counter::LogAppendFailures);
+  Json::Value Fields;
+  Fields["edit"] = Which.Id.text();
+  Fields["note"] = Which.Note;
+  logEvent(LogLevel::Warn, "edit_by_fleet", Fields);
+}
+
+void RolloutDriver::holdTripped(const ConfigView &View) {
+  const Table &Rows = *View.State->Compiled;
+  // Only the hosts that tripped write the hold; the others heard of it.
+  for (const VersionTrip &Trip : this->Parts.Ratings.trips()) {
+    auto Found = Rows.Versions.find(Trip.Version);
+    if (Found == Rows.Versions.end())
+      continue;
+    VersionState State = Found->second.State;
+    bool IsOpen =
+        State == VersionState::Candidate || State == VersionState::Serving;
+    if (!IsOpen)
+      continue;
+    // A hold that lost to an operator's edit of the row is not repeated: the
+    // trip itself still keeps new requests away.
+    Edit Hold =
+        makeHold(Trip.Version, Trip.Run, Trip.Evidence, View.State->Applied);
+    this->append(Hold);
+  }
+}
+
+int64_t RolloutDriver::ratedOf(const Table &Rows, const VersionKey &Key) const {
+  int64_t Sum = 0;
+  for (const auto &[Kind, Row] : Rows.Kinds)
+    Sum += this->Parts.Fleet.ratings(Kind, Key).Rated;
+  return Sum;
+}
+
+void RolloutDriver::stepRollouts(const ConfigView &View) {
+  const Table &Rows = *View.State->Compiled;
+  std::vector<VersionTrip> Trips = this->Parts.Fleet.trips();
+  for (const auto &[Model, Row] : Rows.Rollouts) {
+    VersionKey Key{Model, Row.Candidate};
+    auto Version = Rows.Versions.find(Key);
+    bool IsCandidate = Version != Rows.Versions.end() &&
+                       Version->second.State == VersionState::Candidate;
+    bool IsTripped =
+        std::any_of(Trips.begin(), Trips.end(), [&](const VersionTrip &Trip) {
+          return Trip.Version == Key && Trip.Run == Row.Run;
+        });
+    if (!IsCandidate || IsTripped)
+      continue;
+    int64_t Rated = this->ratedOf(Rows, Key);
+    StepStart &Start = this->Steps[Model];
+    // Tallies are halved now and then; a count that fell starts anew.
+    if (Start.Percent != Row.Percent || Start.Run != Row.Run ||
+        Rated < Start.Rated)
+      Start = StepStart{Row.Percent, Row.Run, Rated};
+    int Next = nextRolloutPercent(Row, Rated - Start.Rated);
+    if (Next >= 0)
+      this->append(makeRolloutStep(Row, Next, View.State->Applied));
+  }
+}
+
+} // namespace berylramp::internal
--- /dev/null
+++ b/src/rpc/codec.cpp
@@ -0,0 +1,92 @@
+//===- codec.cpp - The JSON-RPC codec, as C++14 ---------------------------===//
+//
+// Only the library's codec and dispatch are used. Its HTTP connectors bind all
+// interfaces and share no connection between threads, so ours carry the bodies.
+//
+//===----------------------------------------------------------------------===//
+
+#include "codec.h"
+
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/client/iclientconnector.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+#include <map>
+
+namespace berylramp {
+namespace internal {
+
+struct RpcDispatcher::Impl : public jsonrpc::IProcedureInvokationHandler {
+  std::map<std::string, RpcMethod> Methods;
+  std::unique_ptr<jsonrpc::IProtocolHandler> Handler;
+
+  Impl()
+      : Handler(jsonrpc::RequestHandlerFactory::createProtocolHandler(
+            jsonrpc::JSONRPC_SERVER_V2, *this)) {}
+
+  void HandleMethodCall(jsonrpc::Procedure &Which, const Json::Value &Input,
+                        Json::Value &Output) override {
+    std::string Error;
+    const RpcMethod &Method = this->Methods.at(Which.GetProcedureName());
+    if (!Method(Input, Output, Error))
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INTERNAL_ERROR,
+                                      Error);
+  }
+
+  void HandleNotificationCall(jsonrpc::Procedure &,
+                              const Json::Value &) override {}
+};
+
+RpcDispatcher::RpcDispatcher() : Inner(new Impl) {}
+RpcDispatcher::~RpcDispatcher() = default;
+
+void RpcDispatcher::add(const std::string &Name, RpcMethod Method) {
+  this->Inner->Methods[Name] = std::move(Method);
+  this->Inner->Handler->AddProcedure(jsonrpc::Procedure(
+      Name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, NULL));
+}
+
+std::string RpcDispatcher::handle(const std::string &Body) {
+  std::string Answer;
+  this->Inner->Handler->HandleRequest(Body, Answer);
+  return Answer;
+}
+
+namespace {
+
+class FunctionConnector : public jsonrpc::IClientConnector {
+public:
+  explicit FunctionConnector(const RpcTransport &Transport)
+      : Transport(Transport) {}
+
+  // The base class declares what it throws in the old form.
+  void SendRPCMessage(const std::string &Message, std::string &Result) throw(
+      jsonrpc::JsonRpcException) override {
+    if (!this->Transport(Message, Result))
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
+                                      "no answer");
+  }
+
+private:
+  const RpcTransport &Transport;
+};
+
+} // namespace
+
+bool callRpc(const RpcTransport &Transport, const std::string &Method,
+             const Json::Value &Params, Json::Value &Result,
+             std::string &Error) {
+  try {
+    FunctionConnector Connector(Transport);
+    jsonrpc::Client Client(Connector, jsonrpc::JSONRPC_CLIENT_V2);
+    Client.CallMethod(Method, Params, Result);
+    return true;
+  } catch (const std::exception &Fault) {
+    Error = Fault.what();
+    return false;
+  }
+}
+
+} // namespace internal
+} // namespace berylramp
