--- a/include/berylramp/http.h
+++ b/include/berylramp/http.h
@@ -56,7 +56,9 @@
   size_t MaxBodyBytes = 1 << 20;
   /// Connections served at once; each has a thread while it is open.
   size_t MaxConnections = 1024;
-  absl::Duration KeepAlive = absl::Seconds(30);
+  /// How long an idle connection stays open, in whole seconds. A stop waits
+  /// for idle connections as long.
+  absl::Duration KeepAlive = absl::Seconds(2);
 };
 
 /// Serves routes until stop(), which lets requests under way finish.
--- a/src/tools/standin/engine.cpp
+++ b/src/tools/standin/engine.cpp
@@ -64,7 +64,7 @@
 }
 
 Engine::Engine(EngineModel Model)
-    : Model(std::move(Model)), Server(HttpServerLimits{}) {
+    : Model(std::move(Model)), Server(standinLimits()) {
   this->Server.route(
       "POST", "/v1/chat/completions",
       [this](const HttpRequest &In, HttpReply &Out) { this->chat(In, Out); });
--- a/src/tools/standin/engine.h
+++ b/src/tools/standin/engine.h
@@ -21,6 +21,14 @@
 
 namespace berylramp::standin {
 
+/// Limits of all servers of the stand-in.
+inline HttpServerLimits standinLimits() {
+  HttpServerLimits Out;
+  Out.MaxConnections = 4096;
+  Out.KeepAlive = absl::Seconds(1);
+  return Out;
+}
+
 /// How one version behaves on an engine.
 struct VersionModel {
   /// The share of good answers, by request kind; "" stands for all others.
--- a/src/tools/standin/platform.cpp
+++ b/src/tools/standin/platform.cpp
@@ -77,7 +77,7 @@
                            Endpoint Address)
     : Name(std::move(Name)), Service(std::move(Service)),
       Place(std::move(Place)), Address(std::move(Address)),
-      Server(HttpServerLimits{}) {
+      Server(standinLimits()) {
   this->Server.route("GET", "/load", [](const HttpRequest &, HttpReply &Out) {
     Out.Body = "{\"running\":0,\"waiting\":0,\"slots\":64}";
   });
@@ -136,7 +136,7 @@
 }
 
 Platform::Platform(const Json::Value &In)
-    : Server(HttpServerLimits{}), Listen(endpointAt(In, "listen")) {
+    : Server(standinLimits()), Listen(endpointAt(In, "listen")) {
   this->Entries = arrayAt(In, "entries");
   for (const Json::Value &Item : arrayAt(In, "engines"))
     this->Engines.push_back(std::make_unique<Engine>(engineModelOf(Item)));
