Bound gossip to 10.5 KB/s and sum the fleet up once

Cause: each exchange sent a digest of 64 members and 24 whole records of about 1 KB, so a host in a fleet of 350 spent 65 KB/s (allowed: 14 KB/s for all of control); and every decision walked all members for ratings, trips and demand.

Change: a record is a core (an array of nine) and a detail that travels only when the other side holds an older one, inside a byte budget. Messages carry 8 youngest cores and 16 others in turn. The sums over all members are made once a gossip period and shared by all requests.

Ruled out: the youngest cores alone (a core's p99 age at 128 hosts 28 s, at 350 never renewed within the run), all in turn (33 s at 128), 16 youngest (22 s at 128, 60 s at 350). With 8 youngest: 20 s and 54 s.

Measured with `berylramp-capacity`, one exchange a second: 350 hosts 65.4 KB/s before, 10.5 KB/s after; processor 4.8 ms/s before, 1.0 ms/s after.

Conclusion: bytes no longer grow with the fleet.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -14,6 +14,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <ctime>
@@ -96,13 +97,14 @@
   Out.Host = HostId(absl::StrFormat("entry-%03d", Number));
   Out.Life = Incarnation(Epoch + Number);
   Out.Heartbeat = 1;
-  Out.Place = PlaceId(absl::StrCat("place-", Number % 11));
-  Out.Address = Endpoint{"127.0.0.1", 10000 + Number};
+  Out.Detail.Version = 1;
+  Out.Detail.Place = PlaceId(absl::StrCat("place-", Number % 11));
+  Out.Detail.Address = Endpoint{"127.0.0.1", 10000 + Number};
   for (int I = 0; I < 6; ++I)
-    Out.Demand.push_back(
+    Out.Detail.Demand.push_back(
         WorkspaceDemand{WorkspaceId(absl::StrCat("workspace-", I)), 1.5});
   for (int I = 0; I < 12; ++I)
-    Out.Ratings.push_back(RatingTally{
+    Out.Detail.Ratings.push_back(RatingTally{
         RequestKindId(absl::StrCat("kind-", I % 4)),
         VersionKey{ModelId("model"), VersionId(absl::StrCat("v", I))}, 90,
         100});
@@ -115,33 +117,29 @@
   double BytesHeld = 0;
   /// Seconds by which records are old, 99 in 100 are younger.
   double AgeP99 = 0;
+  /// The same for details, in heartbeats.
+  double DetailAgeP99 = 0;
 };
 
 /// One exchange as two hosts make it; returns its bytes both ways.
-size_t exchange(FleetView &From, FleetView &To, Instant Now) {
-  Json::Value Request;
-  Request["digest"] = digestToJson(makeDigest(From));
-  std::vector<AgedMember> Hot = newerThan(From, {}, Now);
-  Hot.resize(std::min<size_t>(Hot.size(), 8));
-  Request["members"] = agedMembersToJson(Hot);
-  std::string Sent = writeJson(Request);
-  absl::StatusOr<Json::Value> Read = parseJson(Sent);
-  for (const AgedMember &Each : agedMembersFromJson(memberAt(*Read, "members")))
-    mergeMember(To, Each.What, Each.Age, Now);
-  Json::Value Answer;
-  Answer["members"] = agedMembersToJson(
-      newerThan(To, digestFromJson(memberAt(*Read, "digest")), Now));
-  std::string Back = writeJson(Answer);
-  absl::StatusOr<Json::Value> ReadBack = parseJson(Back);
-  for (const AgedMember &Each :
-       agedMembersFromJson(memberAt(*ReadBack, "members")))
-    mergeMember(From, Each.What, Each.Age, Now);
+size_t exchange(FleetView &From, FleetView &To, Instant Now, size_t Turn) {
+  std::string Sent = writeJson(gossipToJson(openExchange(From, Now, Turn)));
+  GossipMessage Opened = gossipFromJson(*parseJson(Sent));
+  mergeMessage(To, Opened, Now);
+  std::string Back =
+      writeJson(gossipToJson(answerExchange(To, Opened, Now, Turn)));
+  mergeMessage(From, gossipFromJson(*parseJson(Back)), Now);
   return Sent.size() + Back.size();
 }
 
+double percentile99(std::vector<double> Values) {
+  std::sort(Values.begin(), Values.end());
+  return Values[Values.size() * 99 / 100];
+}
+
 GossipCost measureGossip(int Hosts) {
   constexpr int Rounds = 60;
-  constexpr int CountedRounds = 20;
+  constexpr int CountedRounds = 10;
   std::mt19937_64 Bits(7);
   std::vector<FleetView> Views(static_cast<size_t>(Hosts));
   size_t Before = bytesInUse();
@@ -166,12 +164,14 @@
     for (FleetView &View : Views) {
       KnownMember &Self = View.Members[View.Self];
       ++Self.What.Heartbeat;
+      Self.What.Detail.Version = Self.What.Heartbeat;
       Self.WrittenAt = Now;
     }
     for (size_t I = 0; I < Views.size(); ++I) {
       size_t Peer = Bits() % Views.size();
       if (Peer != I)
-        Bytes += static_cast<double>(exchange(Views[I], Views[Peer], Now));
+        Bytes += static_cast<double>(
+            exchange(Views[I], Views[Peer], Now, Bits() >> 32));
     }
   }
   double PerHost = static_cast<double>(CountedRounds) * Hosts;
@@ -184,8 +184,14 @@
     for (const auto &[Host, Known] : View.Members)
       Ages.push_back(absl::ToDoubleSeconds(End - Known.WrittenAt));
   }
-  std::sort(Ages.begin(), Ages.end());
-  Out.AgeP99 = Ages[Ages.size() * 99 / 100];
+  Out.AgeP99 = percentile99(Ages);
+  std::vector<double> DetailAges;
+  for (const FleetView &View : Views) {
+    for (const auto &[Host, Known] : View.Members)
+      DetailAges.push_back(static_cast<double>(
+          Rounds + 1 - std::max<int64_t>(0, Known.What.Detail.Version)));
+  }
+  Out.DetailAgeP99 = percentile99(DetailAges);
   return Out;
 }
 
@@ -194,6 +200,7 @@
   std::vector<Point> Micros;
   std::vector<Point> Held;
   std::vector<Point> Ages;
+  std::vector<Point> DetailAges;
   for (int Hosts : {4, 8, 16, 32, 64, 128, 350}) {
     GossipCost Cost = measureGossip(Hosts);
     double X = Hosts;
@@ -201,11 +208,13 @@
     Micros.push_back({X, Cost.MicrosEachSecond});
     Held.push_back({X, Cost.BytesHeld});
     Ages.push_back({X, Cost.AgeP99});
+    DetailAges.push_back({X, Cost.DetailAgeP99});
   }
   printFit("gossip: bytes a second, both ways", "host", "B", Bytes);
   printFit("gossip: processor us a second", "host", "us", Micros);
   printFit("gossip: bytes held", "host", "B", Held);
-  printFit("gossip: p99 age of a record, s", "host", "s", Ages);
+  printFit("gossip: p99 age of a core, s", "host", "s", Ages);
+  printFit("gossip: p99 age of a detail, s", "host", "s", DetailAges);
 }
 
 //===----------------------------------------------------------------------===//
--- a/include/berylramp/fleet.h
+++ b/include/berylramp/fleet.h
@@ -26,6 +26,11 @@
 struct WorkspaceDemand {
   WorkspaceId Workspace;
   double RequestsPerSecond = 0;
+
+  friend bool operator==(const WorkspaceDemand &A, const WorkspaceDemand &B) {
+    return A.Workspace == B.Workspace &&
+           A.RequestsPerSecond == B.RequestsPerSecond;
+  }
 };
 
 /// Ratings that one host heard for a version under one request kind.
@@ -34,6 +39,11 @@
   VersionKey Version;
   int64_t Good = 0;
   int64_t Rated = 0;
+
+  friend bool operator==(const RatingTally &A, const RatingTally &B) {
+    return A.Kind == B.Kind && A.Version == B.Version && A.Good == B.Good &&
+           A.Rated == B.Rated;
+  }
 };
 
 /// A version that a host holds because its answers turned bad.
@@ -47,32 +57,37 @@
   }
 };
 
+/// The part of what a host says about itself that changes seldom or is large.
+struct MemberDetail {
+  /// Grows with each change; negative while nothing is known.
+  int64_t Version = -1;
+  PlaceId Place;
+  Endpoint Address;
+  std::vector<WorkspaceDemand> Demand;
+  std::vector<RatingTally> Ratings;
+  std::vector<VersionTrip> Trips;
+};
+
+/// True when two details say the same, whatever their versions.
+bool sameDetail(const MemberDetail &A, const MemberDetail &B);
+
 /// What a host says about itself.
 struct Member {
   HostId Host;
   Incarnation Life;
-  /// Grows with each change and each exchange.
+  /// Grows with each exchange.
   int64_t Heartbeat = 0;
-  PlaceId Place;
-  Endpoint Address;
   bool Leaving = false;
   /// The last word of a planned stop: nothing of this life runs any more.
   bool Finished = false;
   Offset Applied = NoOffset;
-  uint64_t TableDigest = 0;
   /// Streams under way.
   int64_t Streams = 0;
   /// Bills of this life up to this sequence number are in the log.
   int64_t BillsLogged = 0;
-  std::vector<WorkspaceDemand> Demand;
-  std::vector<RatingTally> Ratings;
-  std::vector<VersionTrip> Trips;
+  MemberDetail Detail;
 };
 
-Json::Value memberToJson(const Member &Which);
-/// Reads a member; false when the record is malformed.
-bool memberFromJson(const Json::Value &Item, Member &Out);
-
 /// A member as this host knows it.
 struct KnownMember {
   Member What;
@@ -86,48 +101,59 @@
 struct FleetView {
   HostId Self;
   std::map<HostId, KnownMember> Members;
-  /// Where the next digest starts, so that a bounded one covers all in turn.
-  HostId DigestCursor;
   /// The size of the fleet when the view was last fresh, here or at a peer. A
   /// cut-off group must not take itself for the whole fleet by forgetting.
   size_t KnownFloor = 0;
 };
 
-/// Member records and digest entries that one exchange carries at most. They
-/// bound its bytes however large the fleet is.
-inline constexpr size_t MaxMembersInExchange = 24;
-inline constexpr size_t MaxDigestEntries = 64;
-
-/// What a host holds of a member, for comparing.
-struct DigestEntry {
-  HostId Host;
-  Incarnation Life;
-  int64_t Heartbeat = 0;
-};
-
-/// Takes a record heard from a peer whose own copy is \p Age old. Returns true
-/// when it was newer than what the view had.
-bool mergeMember(FleetView &View, const Member &Heard, absl::Duration Age,
-                 Instant Now);
-
-/// The next bounded part of the view, for the peer to compare.
-std::vector<DigestEntry> makeDigest(FleetView &View);
-
-struct AgedMember {
-  Member What;
-  absl::Duration Age;
+/// Records that one message carries at most, and the bytes of details. They
+/// bound a message however large the fleet is.
+inline constexpr size_t MaxCoresInMessage = 24;
+inline constexpr size_t YoungestInMessage = 8;
+inline constexpr size_t MaxDetailBytes = 2400;
+
+/// Takes the core of a record, all but its detail, that is \p Age old.
+/// Returns true when it was newer than what the view had.
+bool mergeCore(FleetView &View, const Member &Heard, absl::Duration Age,
+               Instant Now);
+/// Takes a detail of a life that the view knows.
+void mergeDetail(FleetView &View, const HostId &Host, Incarnation Life,
+                 const MemberDetail &Heard);
+
+/// What one side of an exchange tells the other: the youngest records that it
+/// has, and details that the other lacks.
+struct GossipMessage {
+  struct Core {
+    Member What;
+    absl::Duration Age;
+    /// The version of the detail that the sender holds.
+    int64_t HeldDetail = -1;
+  };
+  struct Detail {
+    HostId Host;
+    Incarnation Life;
+    MemberDetail What;
+  };
+  std::vector<Core> Cores;
+  std::vector<Detail> Details;
+  /// True when the cores are all that the sender knows.
+  bool IsWhole = false;
 };
 
-/// What the view has newer than \p Theirs, or that \p Theirs should have held,
-/// most recently written first, bounded.
-std::vector<AgedMember> newerThan(const FleetView &View,
-                                  const std::vector<DigestEntry> &Theirs,
-                                  Instant Now);
-
-Json::Value digestToJson(const std::vector<DigestEntry> &Digest);
-std::vector<DigestEntry> digestFromJson(const Json::Value &Items);
-Json::Value agedMembersToJson(const std::vector<AgedMember> &Members);
-std::vector<AgedMember> agedMembersFromJson(const Json::Value &Items);
+/// The message that opens an exchange; it carries this host's own detail.
+/// \p Turn is random for each message: it picks which older records go along.
+GossipMessage openExchange(const FleetView &View, Instant Now, size_t Turn);
+/// The message that answers \p Theirs.
+GossipMessage answerExchange(const FleetView &View, const GossipMessage &Theirs,
+                             Instant Now, size_t Turn);
+/// Takes a message; ages count back from \p Now.
+void mergeMessage(FleetView &View, const GossipMessage &Heard, Instant Now);
+
+Json::Value gossipToJson(const GossipMessage &Message);
+/// Reads a message; malformed records are left out.
+GossipMessage gossipFromJson(const Json::Value &Value);
+/// How many bytes the JSON text of a detail takes.
+size_t detailBytes(const HostId &Host, const MemberDetail &Which);
 
 /// Times that the operator sets and that all hosts of a fleet share.
 struct FleetTimes {
@@ -222,8 +248,31 @@
   bool IsHeard = false;
 };
 
-OthersDemand othersDemand(const FleetView &View, const WorkspaceId &Workspace,
-                          const FleetTimes &Times, Instant Now);
+/// What all members together say, summed up once for many requests.
+struct FleetSummary {
+  struct PairKey {
+    RequestKindId Kind;
+    VersionKey Version;
+    friend bool operator<(const PairKey &A, const PairKey &B) {
+      return A.Version == B.Version ? A.Kind < B.Kind : A.Version < B.Version;
+    }
+  };
+  std::map<PairKey, RatingTally> Ratings;
+  std::vector<VersionTrip> Trips;
+  std::map<WorkspaceId, double> DemandOfOthers;
+  size_t LiveHosts = 1;
+  /// Hosts that share limits, and whether any other was heard.
+  size_t SharingHosts = 1;
+  bool IsHeard = false;
+};
+FleetSummary summarizeFleet(const FleetView &View, const FleetTimes &Times,
+                            Instant Now);
+
+OthersDemand othersDemand(const FleetSummary &Summary,
+                          const WorkspaceId &Workspace);
+/// The sum of the ratings that all members reported for one pair.
+RatingTally ratingsOf(const FleetSummary &Summary, const RequestKindId &Kind,
+                      const VersionKey &Version);
 
 /// The part of a limit that every host has whatever the demand, of all hosts
 /// together. It bounds what the fleet can exceed a limit by.
@@ -233,10 +282,6 @@
 /// follows the demand; with nobody heard it is one over the number of hosts.
 double limitShare(double Mine, const OthersDemand &Others);
 
-/// The sum of the ratings that all members reported for one pair.
-RatingTally sumRatings(const FleetView &View, const RequestKindId &Kind,
-                       const VersionKey &Version);
-
 } // namespace berylramp
 
 #endif // BERYLRAMP_FLEET_H
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -1,7 +1,8 @@
-//===- view.cpp - Merging and comparing what members say ------------------===//
+//===- view.cpp - Merging and summing up what members say -----------------===//
 //
 // The age of a record travels with it, so that a record passed on by many
-// hosts never looks younger than it is.
+// hosts never looks younger than it is. The youngest records are passed on:
+// what a host knows to be old, others know from somebody who heard later.
 //
 //===----------------------------------------------------------------------===//
 
@@ -19,81 +20,145 @@
   return A.Heartbeat > B.Heartbeat;
 }
 
-bool isNewerThanEntry(const Member &A, const DigestEntry &B) {
-  if (A.Life != B.Life)
-    return A.Life > B.Life;
-  return A.Heartbeat > B.Heartbeat;
+bool isHeard(const KnownMember &Known, const FleetTimes &Times, Instant Now) {
+  return !Known.Gone && Now - Known.WrittenAt <= Times.HeardWithin;
 }
 
-const DigestEntry *findEntry(const std::vector<DigestEntry> &Digest,
-                             const HostId &Host) {
-  for (const DigestEntry &Each : Digest) {
-    if (Each.Host == Host)
+GossipMessage::Core coreOf(const KnownMember &Known, Instant Now) {
+  GossipMessage::Core Out;
+  Out.What = Known.What;
+  Out.What.Detail = MemberDetail{};
+  Out.Age = Now - Known.WrittenAt;
+  Out.HeldDetail = Known.What.Detail.Version;
+  return Out;
+}
+
+/// The youngest records, this host's own among them, and after them a run of
+/// the others that begins at \p Turn, so that in time each record goes to
+/// somebody. The youngest alone would starve all that is a little older.
+std::vector<GossipMessage::Core> coresToTell(const FleetView &View, Instant Now,
+                                             size_t Turn) {
+  std::vector<const KnownMember *> All;
+  All.reserve(View.Members.size());
+  for (const auto &[Host, Known] : View.Members)
+    All.push_back(&Known);
+  size_t Wanted = std::min(All.size(), MaxCoresInMessage);
+  size_t Youngest = std::min(Wanted, YoungestInMessage);
+  std::partial_sort(All.begin(), All.begin() + static_cast<long>(Youngest),
+                    All.end(), [](const KnownMember *A, const KnownMember *B) {
+                      return B->WrittenAt < A->WrittenAt;
+                    });
+  std::vector<GossipMessage::Core> Out;
+  Out.reserve(Wanted);
+  for (size_t I = 0; I < Youngest; ++I)
+    Out.push_back(coreOf(*All[I], Now));
+  size_t Others = All.size() - Youngest;
+  for (size_t I = 0; Out.size() < Wanted; ++I)
+    Out.push_back(coreOf(*All[Youngest + (Turn + I) % Others], Now));
+  return Out;
+}
+
+const GossipMessage::Core *findCore(const GossipMessage &Message,
+                                    const HostId &Host) {
+  for (const GossipMessage::Core &Each : Message.Cores) {
+    if (Each.What.Host == Host)
       return &Each;
   }
   return nullptr;
 }
 
-bool isHeard(const KnownMember &Known, const FleetTimes &Times, Instant Now) {
-  return !Known.Gone && Now - Known.WrittenAt <= Times.HeardWithin;
+/// Whether the sender of \p Theirs lacks the detail that this host holds.
+bool lacksDetail(const GossipMessage &Theirs, const KnownMember &Known) {
+  if (Known.What.Detail.Version < 0)
+    return false;
+  const GossipMessage::Core *Held = findCore(Theirs, Known.What.Host);
+  if (Held == nullptr)
+    return Theirs.IsWhole;
+  if (Held->What.Life != Known.What.Life)
+    return Held->What.Life < Known.What.Life;
+  return Held->HeldDetail < Known.What.Detail.Version;
 }
 
 } // namespace
 
-bool mergeMember(FleetView &View, const Member &Heard, absl::Duration Age,
-                 Instant Now) {
+bool sameDetail(const MemberDetail &A, const MemberDetail &B) {
+  return A.Place == B.Place && A.Address == B.Address && A.Demand == B.Demand &&
+         A.Ratings == B.Ratings && A.Trips == B.Trips;
+}
+
+bool mergeCore(FleetView &View, const Member &Heard, absl::Duration Age,
+               Instant Now) {
   if (Heard.Host == View.Self)
     return false;
-  Instant WrittenAt = Now + -Age;
-  auto Found = View.Members.find(Heard.Host);
-  if (Found == View.Members.end()) {
-    View.Members[Heard.Host] = KnownMember{Heard, WrittenAt, Heard.Finished};
-    return true;
-  }
+  auto [Found, IsNew] = View.Members.try_emplace(Heard.Host);
   KnownMember &Known = Found->second;
-  if (!isNewer(Heard, Known.What))
+  if (!IsNew && !isNewer(Heard, Known.What))
     return false;
-  Known = KnownMember{Heard, WrittenAt, Heard.Finished};
+  MemberDetail Kept;
+  if (!IsNew && Known.What.Life == Heard.Life)
+    Kept = std::move(Known.What.Detail);
+  Known.What = Heard;
+  Known.What.Detail = std::move(Kept);
+  Known.WrittenAt = Now + -Age;
+  Known.Gone = Heard.Finished;
   return true;
 }
 
-std::vector<DigestEntry> makeDigest(FleetView &View) {
-  std::vector<DigestEntry> Out;
-  auto Each = View.Members.lower_bound(View.DigestCursor);
-  size_t Wanted = std::min(MaxDigestEntries, View.Members.size());
-  while (Out.size() < Wanted) {
-    if (Each == View.Members.end())
-      Each = View.Members.begin();
-    const Member &What = Each->second.What;
-    Out.push_back(DigestEntry{What.Host, What.Life, What.Heartbeat});
-    ++Each;
+void mergeDetail(FleetView &View, const HostId &Host, Incarnation Life,
+                 const MemberDetail &Heard) {
+  auto Found = View.Members.find(Host);
+  if (Host == View.Self || Found == View.Members.end())
+    return;
+  Member &What = Found->second.What;
+  if (What.Life == Life && What.Detail.Version < Heard.Version)
+    What.Detail = Heard;
+}
+
+GossipMessage openExchange(const FleetView &View, Instant Now, size_t Turn) {
+  GossipMessage Out;
+  Out.Cores = coresToTell(View, Now, Turn);
+  Out.IsWhole = Out.Cores.size() == View.Members.size();
+  auto Self = View.Members.find(View.Self);
+  if (Self != View.Members.end()) {
+    const Member &What = Self->second.What;
+    Out.Details.push_back({What.Host, What.Life, What.Detail});
   }
-  View.DigestCursor = Each == View.Members.end() ? HostId() : Each->first;
   return Out;
 }
 
-std::vector<AgedMember> newerThan(const FleetView &View,
-                                  const std::vector<DigestEntry> &Theirs,
-                                  Instant Now) {
-  // A digest that names every member it has also says which ones it lacks; a
-  // partial one says nothing about the members outside it.
-  bool IsWhole = Theirs.size() < MaxDigestEntries;
-  std::vector<AgedMember> Out;
+GossipMessage answerExchange(const FleetView &View, const GossipMessage &Theirs,
+                             Instant Now, size_t Turn) {
+  GossipMessage Out;
+  Out.Cores = coresToTell(View, Now, Turn);
+  Out.IsWhole = Out.Cores.size() == View.Members.size();
+  std::vector<const KnownMember *> Lacking;
   for (const auto &[Host, Known] : View.Members) {
-    const DigestEntry *Held = findEntry(Theirs, Host);
-    bool Lacks = Held == nullptr && (IsWhole || Host == View.Self);
-    bool IsOlder = Held != nullptr && isNewerThanEntry(Known.What, *Held);
-    if (Lacks || IsOlder)
-      Out.push_back(AgedMember{Known.What, Now - Known.WrittenAt});
+    if (lacksDetail(Theirs, Known))
+      Lacking.push_back(&Known);
+  }
+  std::sort(Lacking.begin(), Lacking.end(),
+            [](const KnownMember *A, const KnownMember *B) {
+              return B->WrittenAt < A->WrittenAt;
+            });
+  size_t Bytes = 0;
+  for (const KnownMember *Known : Lacking) {
+    const Member &What = Known->What;
+    Bytes += detailBytes(What.Host, What.Detail);
+    // One detail always goes, or a large one would never.
+    if (Bytes > MaxDetailBytes && !Out.Details.empty())
+      break;
+    Out.Details.push_back({What.Host, What.Life, What.Detail});
   }
-  std::sort(
-      Out.begin(), Out.end(),
-      [](const AgedMember &A, const AgedMember &B) { return A.Age < B.Age; });
-  if (Out.size() > MaxMembersInExchange)
-    Out.resize(MaxMembersInExchange);
   return Out;
 }
 
+void mergeMessage(FleetView &View, const GossipMessage &Heard, Instant Now) {
+  for (const GossipMessage::Core &Each : Heard.Cores)
+    mergeCore(View, Each.What, Each.Age, Now);
+  for (const GossipMessage::Detail &Each : Heard.Details)
+    mergeDetail(View, Each.Host, Each.Life, Each.What);
+}
+
 void forgetSilent(FleetView &View, const FleetTimes &Times, Instant Now) {
   for (auto Each = View.Members.begin(); Each != View.Members.end();) {
     bool IsSelf = Each->first == View.Self;
@@ -133,13 +198,15 @@
   std::vector<const Member *> Offered;
   for (const auto &[Host, Known] : View.Members) {
     bool IsSelf = Host == View.Self;
-    if ((IsSelf || isHeard(Known, Times, Now)) && !Known.What.Leaving)
+    bool HasAddress = Known.What.Detail.Version >= 0;
+    if (HasAddress && (IsSelf || isHeard(Known, Times, Now)) &&
+        !Known.What.Leaving)
       Offered.push_back(&Known.What);
   }
   std::sort(Offered.begin(), Offered.end(),
             [&Near](const Member *A, const Member *B) {
-              bool ANear = A->Place == Near;
-              bool BNear = B->Place == Near;
+              bool ANear = A->Detail.Place == Near;
+              bool BNear = B->Detail.Place == Near;
               if (ANear != BNear)
                 return ANear;
               if (A->Streams != B->Streams)
@@ -149,47 +216,60 @@
   std::vector<EntryAddress> Out;
   Out.reserve(Offered.size());
   for (const Member *Each : Offered)
-    Out.push_back(EntryAddress{Each->Host, Each->Place, Each->Address});
+    Out.push_back(
+        EntryAddress{Each->Host, Each->Detail.Place, Each->Detail.Address});
   return Out;
 }
 
-RatingTally sumRatings(const FleetView &View, const RequestKindId &Kind,
-                       const VersionKey &Version) {
-  RatingTally Sum{Kind, Version, 0, 0};
-  for (const auto &[Host, Known] : View.Members) {
-    for (const RatingTally &Each : Known.What.Ratings) {
-      if (Each.Kind != Kind || Each.Version != Version)
-        continue;
-      Sum.Good += Each.Good;
-      Sum.Rated += Each.Rated;
-    }
-  }
-  return Sum;
-}
-
-OthersDemand othersDemand(const FleetView &View, const WorkspaceId &Workspace,
-                          const FleetTimes &Times, Instant Now) {
-  OthersDemand Out;
+FleetSummary summarizeFleet(const FleetView &View, const FleetTimes &Times,
+                            Instant Now) {
+  FleetSummary Out;
+  Out.LiveHosts = liveMembers(View, Times, Now).size();
   size_t Known = 0;
+  size_t Heard = 0;
   for (const auto &[Host, Each] : View.Members) {
+    const MemberDetail &Detail = Each.What.Detail;
+    for (const RatingTally &Tally : Detail.Ratings) {
+      RatingTally &Sum =
+          Out.Ratings[FleetSummary::PairKey{Tally.Kind, Tally.Version}];
+      Sum.Good += Tally.Good;
+      Sum.Rated += Tally.Rated;
+    }
+    for (const VersionTrip &Trip : Detail.Trips) {
+      if (std::find(Out.Trips.begin(), Out.Trips.end(), Trip) ==
+          Out.Trips.end())
+        Out.Trips.push_back(Trip);
+    }
     if (Host == View.Self || Each.Gone)
       continue;
     ++Known;
     if (!isHeard(Each, Times, Now))
       continue;
-    Out.IsHeard = true;
-    ++Out.Hosts;
-    for (const WorkspaceDemand &Demand : Each.What.Demand) {
-      if (Demand.Workspace == Workspace)
-        Out.RequestsPerSecond += Demand.RequestsPerSecond;
-    }
+    ++Heard;
+    for (const WorkspaceDemand &Demand : Detail.Demand)
+      Out.DemandOfOthers[Demand.Workspace] += Demand.RequestsPerSecond;
   }
+  Out.IsHeard = Heard > 0;
   // Hosts that are not heard may still serve: they keep their part.
-  if (!Out.IsHeard)
-    Out.Hosts = Known + 1;
+  Out.SharingHosts = 1 + (Out.IsHeard ? Heard : Known);
   return Out;
 }
 
+OthersDemand othersDemand(const FleetSummary &Summary,
+                          const WorkspaceId &Workspace) {
+  auto Found = Summary.DemandOfOthers.find(Workspace);
+  return OthersDemand{Found == Summary.DemandOfOthers.end() ? 0 : Found->second,
+                      Summary.SharingHosts, Summary.IsHeard};
+}
+
+RatingTally ratingsOf(const FleetSummary &Summary, const RequestKindId &Kind,
+                      const VersionKey &Version) {
+  auto Found = Summary.Ratings.find(FleetSummary::PairKey{Kind, Version});
+  if (Found == Summary.Ratings.end())
+    return RatingTally{Kind, Version, 0, 0};
+  return Found->second;
+}
+
 double limitShare(double Mine, const OthersDemand &Others) {
   double Even = 1.0 / static_cast<double>(Others.Hosts);
   if (!Others.IsHeard)
--- a/src/router/admin_api.cpp
+++ b/src/router/admin_api.cpp
@@ -138,8 +138,9 @@
   Out["streams"] = Json::Int64(this->Parts.Streams);
   Out["bills_pending"] = Json::UInt64(this->Parts.Bills.pending());
   Out["bills_held"] = Json::UInt64(this->Parts.Bills.held());
-  Out["live_hosts"] = Json::UInt64(this->Parts.Fleet.liveCount());
-  for (const VersionTrip &Trip : this->Parts.Fleet.trips()) {
+  Out["live_hosts"] = Json::UInt64(this->Parts.Fleet.summary()->LiveHosts);
+  std::shared_ptr<const FleetSummary> Summary = this->Parts.Fleet.summary();
+  for (const VersionTrip &Trip : Summary->Trips) {
     Json::Value Item;
     Item["version"] = Trip.Version.text();
     Item["run"] = Trip.Run;
@@ -150,8 +151,7 @@
     Json::Value Item;
     Item["workspace"] = Workspace.text();
     Item["share"] = this->Parts.Limits.share(
-        Workspace, this->Parts.Fleet.demandOfOthers(Workspace),
-        Context.Timer.now());
+        Workspace, othersDemand(*Summary, Workspace), Context.Timer.now());
     Out["limit_shares"].append(Item);
   }
   return Out;
@@ -166,8 +166,8 @@
     const Member &What = Known.What;
     Json::Value Item;
     Item["host"] = Host.text();
-    Item["place"] = What.Place.text();
-    Item["address"] = What.Address.text();
+    Item["place"] = What.Detail.Place.text();
+    Item["address"] = What.Detail.Address.text();
     Item["life"] = Json::Int64(What.Life.count());
     Item["offset"] = Json::Int64(What.Applied.count());
     Item["streams"] = Json::Int64(What.Streams);
@@ -267,7 +267,8 @@
   Add("streams", static_cast<double>(this->Parts.Streams));
   Add("bills_pending", static_cast<double>(this->Parts.Bills.pending()));
   Add("bills_held", static_cast<double>(this->Parts.Bills.held()));
-  Add("live_hosts", static_cast<double>(this->Parts.Fleet.liveCount()));
+  Add("live_hosts",
+      static_cast<double>(this->Parts.Fleet.summary()->LiveHosts));
   Add("view", static_cast<double>(this->Parts.Fleet.freshness()));
   Add("log_up", this->Parts.Config.isLogUp() ? 1 : 0);
   Reply.ContentType = "text/plain; version=0.0.4";
--- a/src/router/admission.cpp
+++ b/src/router/admission.cpp
@@ -33,9 +33,9 @@
   auto Found = Rows.Limits.find(Workspace);
   if (Found == Rows.Limits.end())
     return std::nullopt;
-  LimitVerdict Verdict =
-      Parts.Limits.take(Found->second, Parts.Fleet.demandOfOthers(Workspace),
-                        WantedTokens, Parts.Context.Timer.now());
+  LimitVerdict Verdict = Parts.Limits.take(
+      Found->second, othersDemand(*Parts.Fleet.summary(), Workspace),
+      WantedTokens, Parts.Context.Timer.now());
   if (Verdict.Admitted)
     return std::nullopt;
   return notRun(RefusalKind::LimitReached,
--- a/src/router/fleet_link.cpp
+++ b/src/router/fleet_link.cpp
@@ -22,8 +22,6 @@
 /// Hosts asked directly about one edit, at most.
 constexpr size_t MaxAskedAboutEdit = 64;
 constexpr size_t MaxWatches = 256;
-/// Recently written records that go along unasked.
-constexpr size_t MaxHotMembers = 8;
 constexpr int64_t NeverConfirmed = -1;
 
 } // namespace
@@ -31,6 +29,7 @@
 FleetLink::FleetLink(RouterContext &Context, ConfigFollower &Config)
     : Context(Context), Config(Config) {
   this->View.Self = Context.Settings.Host;
+  this->Summary = std::make_shared<const FleetSummary>();
 }
 
 void FleetLink::start(const Endpoint &Listening,
@@ -55,16 +54,32 @@
   Said.Host = this->Context.Settings.Host;
   Said.Life = this->Context.Life;
   Said.Heartbeat = What.Heartbeat + 1;
-  Said.Place = this->Context.Settings.Place;
-  Said.Address = this->Address;
   Said.Leaving = What.Leaving;
   Said.Finished = What.Finished;
-  Said.TableDigest = Table.Digest;
   // A host whose table differs from its peers' confirms nothing new.
   Said.Applied =
       this->Diverged ? this->ConfirmedBeforeDivergence : Table.State->Applied;
+  Said.Detail.Place = this->Context.Settings.Place;
+  Said.Detail.Address = this->Address;
+  // An unchanged detail keeps its version, so that nobody sends it again.
+  Said.Detail.Version = sameDetail(Said.Detail, What.Detail)
+                            ? What.Detail.Version
+                            : Said.Heartbeat;
   What = std::move(Said);
   Self.WrittenAt = this->Context.Timer.now();
+  this->renewSummary();
+}
+
+void FleetLink::renewSummary() {
+  this->Summary = std::make_shared<const FleetSummary>(summarizeFleet(
+      this->View, this->Context.Settings.Times, this->Context.Timer.now()));
+}
+
+size_t FleetLink::drawTurn() { return absl::Uniform<uint32_t>(this->Draws); }
+
+std::shared_ptr<const FleetSummary> FleetLink::summary() const {
+  absl::MutexLock Hold(&this->Lock);
+  return this->Summary;
 }
 
 void FleetLink::setLeaving() {
@@ -105,10 +120,12 @@
   for (const auto &[Host, Known] : this->View.Members) {
     bool IsSilent =
         Now - Known.WrittenAt > this->Context.Settings.Times.HeardWithin;
+    bool HasAddress = Known.What.Detail.Version >= 0;
     if (Known.Gone || (IsSilent && !TryTheSilent))
       Found.erase(Host);
-    else
-      Found[Host] = PeerAddress{Host, Known.What.Place, Known.What.Address};
+    else if (HasAddress)
+      Found[Host] =
+          PeerAddress{Host, Known.What.Detail.Place, Known.What.Detail.Address};
   }
   Found.erase(this->Context.Settings.Host);
   std::vector<PeerAddress> Out;
@@ -124,9 +141,9 @@
   std::vector<PeerAddress> Out;
   for (const HostId &Host :
        liveMembers(Copy, this->Context.Settings.Times, Now)) {
-    const Member &What = Copy.Members[Host].What;
-    if (Host != Copy.Self)
-      Out.push_back(PeerAddress{Host, What.Place, What.Address});
+    const MemberDetail &Detail = Copy.Members[Host].What.Detail;
+    if (Host != Copy.Self && Detail.Version >= 0)
+      Out.push_back(PeerAddress{Host, Detail.Place, Detail.Address});
   }
   return Out;
 }
@@ -161,7 +178,6 @@
   Out["table"] = hexText(Table.Digest);
   absl::MutexLock Hold(&this->Lock);
   Out["floor"] = Json::UInt64(countKnown(this->View));
-  Out["digest"] = digestToJson(makeDigest(this->View));
   return Out;
 }
 
@@ -169,13 +185,9 @@
   Json::Value Message = this->makeMessage();
   {
     absl::MutexLock Hold(&this->Lock);
-    std::vector<AgedMember> Hot =
-        newerThan(this->View, {}, this->Context.Timer.now());
-    if (Hot.size() > MaxHotMembers)
-      Hot.resize(MaxHotMembers);
-    Message["members"] = agedMembersToJson(Hot);
+    Message["gossip"] = gossipToJson(
+        openExchange(this->View, this->Context.Timer.now(), this->drawTurn()));
   }
-  Message["from"] = this->Address.text();
   Instant Began = this->Context.Timer.now();
   absl::StatusOr<Json::Value> Answer =
       this->Context.Ports.Peers.Call(Peer.Address, "exchange", Message);
@@ -191,13 +203,12 @@
   // request, only from an answer, whose round trip this host has timed.
   Instant Now = this->Context.Timer.now();
   Json::Value Answer = this->makeMessage();
+  GossipMessage Heard = gossipFromJson(memberAt(Params, "gossip"));
   {
     absl::MutexLock Hold(&this->Lock);
-    for (const AgedMember &Each :
-         agedMembersFromJson(memberAt(Params, "members")))
-      mergeMember(this->View, Each.What, Each.Age, Now);
-    Answer["members"] = agedMembersToJson(
-        newerThan(this->View, digestFromJson(memberAt(Params, "digest")), Now));
+    mergeMessage(this->View, Heard, Now);
+    Answer["gossip"] =
+        gossipToJson(answerExchange(this->View, Heard, Now, this->drawTurn()));
   }
   this->compareTables(Params);
   return Answer;
@@ -209,9 +220,8 @@
   // records and confirmations older, never younger.
   {
     absl::MutexLock Hold(&this->Lock);
-    for (const AgedMember &Each :
-         agedMembersFromJson(memberAt(Message, "members")))
-      mergeMember(this->View, Each.What, Each.Age, Began);
+    mergeMessage(this->View, gossipFromJson(memberAt(Message, "gossip")),
+                 Began);
     size_t Floor = static_cast<size_t>(std::clamp<int64_t>(
         intAt(Message, "floor"), 0, static_cast<int64_t>(1) << 20));
     this->View.KnownFloor = std::max(this->View.KnownFloor, Floor);
@@ -323,21 +333,8 @@
   auto Found = this->View.Members.find(Host);
   if (Found == this->View.Members.end())
     return false;
-  Out = Found->second.What.Address;
-  return true;
-}
-
-OthersDemand FleetLink::demandOfOthers(const WorkspaceId &Workspace) const {
-  absl::MutexLock Hold(&this->Lock);
-  return othersDemand(this->View, Workspace, this->Context.Settings.Times,
-                      this->Context.Timer.now());
-}
-
-size_t FleetLink::liveCount() const {
-  absl::MutexLock Hold(&this->Lock);
-  return liveMembers(this->View, this->Context.Settings.Times,
-                     this->Context.Timer.now())
-      .size();
+  Out = Found->second.What.Detail.Address;
+  return Found->second.What.Detail.Version >= 0;
 }
 
 std::vector<EntryAddress> FleetLink::entries(const PlaceId &Near) const {
@@ -346,24 +343,6 @@
                         this->Context.Timer.now());
 }
 
-RatingTally FleetLink::ratings(const RequestKindId &Kind,
-                               const VersionKey &Key) const {
-  absl::MutexLock Hold(&this->Lock);
-  return sumRatings(this->View, Kind, Key);
-}
-
-std::vector<VersionTrip> FleetLink::trips() const {
-  std::vector<VersionTrip> Out;
-  absl::MutexLock Hold(&this->Lock);
-  for (const auto &[Host, Known] : this->View.Members) {
-    for (const VersionTrip &Trip : Known.What.Trips) {
-      if (std::find(Out.begin(), Out.end(), Trip) == Out.end())
-        Out.push_back(Trip);
-    }
-  }
-  return Out;
-}
-
 bool FleetLink::hasDiverged() const {
   absl::MutexLock Hold(&this->Lock);
   return this->Diverged;
--- a/src/router/fleet_link.h
+++ b/src/router/fleet_link.h
@@ -48,6 +48,8 @@
   void tellAll();
 
   FleetView view() const;
+  /// What all members say together; at most one gossip period old.
+  std::shared_ptr<const FleetSummary> summary() const;
   Freshness freshness() const;
   /// Whether an edit is in force; asks the hosts that have not confirmed.
   Acknowledgement acknowledge(Offset At);
@@ -55,11 +57,7 @@
   bool isPeerGone(const HostId &Host, Incarnation Life) const;
   /// Where a host listens; false when it is not known.
   bool addressOf(const HostId &Host, Endpoint &Out) const;
-  OthersDemand demandOfOthers(const WorkspaceId &Workspace) const;
-  size_t liveCount() const;
   std::vector<EntryAddress> entries(const PlaceId &Near) const;
-  RatingTally ratings(const RequestKindId &Kind, const VersionKey &Key) const;
-  std::vector<VersionTrip> trips() const;
   /// True while a peer at the same offset has another table.
   bool hasDiverged() const;
   /// Entry hosts that the platform lists, to find peers without gossip.
@@ -67,6 +65,8 @@
 
 private:
   void tick();
+  size_t drawTurn() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Lock);
+  void renewSummary() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Lock);
   void exchangeWith(const PeerAddress &Peer);
   Json::Value makeMessage();
   void takeMessage(const Json::Value &Message, Instant Began,
@@ -86,6 +86,7 @@
 
   mutable absl::Mutex Lock;
   FleetView View;
+  std::shared_ptr<const FleetSummary> Summary;
   std::map<Offset, EditWatch> Watches;
   std::vector<PeerAddress> Listed;
   bool Diverged = false;
--- a/src/router/generation_plan.cpp
+++ b/src/router/generation_plan.cpp
@@ -118,13 +118,13 @@
   Out.Workspace = this->Asked.Workspace;
   Out.IsDetached = this->Admitted.View == Freshness::Detached;
   Out.RolloutDraw = static_cast<int>(this->Draw % DrawRange);
-  for (const VersionTrip &Trip : this->Parts.Fleet.trips()) {
+  std::shared_ptr<const FleetSummary> Summary = this->Parts.Fleet.summary();
+  for (const VersionTrip &Trip : Summary->Trips) {
     // A trip counts for the run it was seen in, not for a later roll-out.
     if (Trip.Run == runOf(Rows, Trip.Version))
       Out.Tripped.push_back(Trip.Version);
   }
-  int Room =
-      candidateRoom(CandidateUnratedFleetWide, this->Parts.Fleet.liveCount());
+  int Room = candidateRoom(CandidateUnratedFleetWide, Summary->LiveHosts);
   for (const auto &[Model, Rollout] : Rows.Rollouts) {
     VersionKey Key{Model, Rollout.Candidate};
     if (this->Parts.Ratings.unrated(Key) >= Room)
@@ -145,7 +145,7 @@
       absl::Seconds(static_cast<double>(this->Granted.MaxTokens.count()) /
                     Rate);
   RatingTally Tally =
-      this->Parts.Fleet.ratings(this->Admitted.Kind.Id, Row.Key);
+      ratingsOf(*this->Parts.Fleet.summary(), this->Admitted.Kind.Id, Row.Key);
   Out.Belief = QualityBelief{static_cast<double>(Tally.Good),
                              static_cast<double>(Tally.Rated)};
   return Out;
--- a/src/router/generation_run.cpp
+++ b/src/router/generation_run.cpp
@@ -271,8 +271,8 @@
   if (Found == Rows.Versions.end())
     return;
   bool IsCandidate = this->isCandidate(Answer.Version);
-  RatingTally Known =
-      this->Parts.Fleet.ratings(this->Admitted.Kind.Id, Answer.Version);
+  RatingTally Known = ratingsOf(*this->Parts.Fleet.summary(),
+                                this->Admitted.Kind.Id, Answer.Version);
   bool IsDrawn = this->Draw / 100 % RateOneIn == 0;
   if (!IsCandidate && Known.Rated >= KnownAfterRatings && !IsDrawn)
     return;
--- a/src/router/limit_desk.cpp
+++ b/src/router/limit_desk.cpp
@@ -15,7 +15,16 @@
 
 /// After this long without requests a demand has fallen to 1/e.
 constexpr double MeterSeconds = 1.0;
-constexpr double NegligibleRate = 0.01;
+constexpr double NegligibleRate = 0.05;
+
+/// Rounds to two significant digits, so that a steady demand reads the same
+/// from one exchange to the next.
+double twoDigits(double Rate) {
+  if (Rate < NegligibleRate)
+    return 0;
+  double Unit = std::pow(10.0, std::floor(std::log10(Rate)) - 1);
+  return std::round(Rate / Unit) * Unit;
+}
 
 } // namespace
 
@@ -53,7 +62,7 @@
   for (const Shard &Home : this->Shards) {
     absl::MutexLock Hold(&Home.Lock);
     for (const auto &[Workspace, Each] : Home.Entries) {
-      double Rate = Each.Demand.at(Now);
+      double Rate = twoDigits(Each.Demand.at(Now));
       if (Rate > NegligibleRate)
         Out.push_back(WorkspaceDemand{Workspace, Rate});
     }
--- a/src/router/rollout_driver.cpp
+++ b/src/router/rollout_driver.cpp
@@ -74,13 +74,13 @@
 int64_t RolloutDriver::ratedOf(const Table &Rows, const VersionKey &Key) const {
   int64_t Sum = 0;
   for (const auto &[Kind, Row] : Rows.Kinds)
-    Sum += this->Parts.Fleet.ratings(Kind, Key).Rated;
+    Sum += ratingsOf(*this->Parts.Fleet.summary(), Kind, Key).Rated;
   return Sum;
 }
 
 void RolloutDriver::stepRollouts(const ConfigView &View) {
   const Table &Rows = *View.State->Compiled;
-  std::vector<VersionTrip> Trips = this->Parts.Fleet.trips();
+  std::vector<VersionTrip> Trips = this->Parts.Fleet.summary()->Trips;
   for (const auto &[Model, Row] : Rows.Rollouts) {
     VersionKey Key{Model, Row.Candidate};
     auto Version = Rows.Versions.find(Key);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -73,9 +73,9 @@
     Instant Now = this->Context.Timer.now();
     Said.Streams = this->Parts.Streams;
     Said.BillsLogged = this->Parts.Bills.loggedUpTo();
-    Said.Demand = this->Parts.Limits.demand(Now);
-    Said.Ratings = this->Parts.Ratings.tallies();
-    Said.Trips = this->Parts.Ratings.trips();
+    Said.Detail.Demand = this->Parts.Limits.demand(Now);
+    Said.Detail.Ratings = this->Parts.Ratings.tallies();
+    Said.Detail.Trips = this->Parts.Ratings.trips();
   }
 };
 
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -15,9 +15,10 @@
   Out.Host = HostId(Host);
   Out.Life = Incarnation(1);
   Out.Heartbeat = Heartbeat;
-  Out.Place = PlaceId("p");
-  Out.Address = Endpoint{"127.0.0.1", 1000};
   Out.Applied = Offset(Applied);
+  Out.Detail.Version = Heartbeat;
+  Out.Detail.Place = PlaceId("p");
+  Out.Detail.Address = Endpoint{"127.0.0.1", 1000};
   return Out;
 }
 
@@ -39,13 +40,12 @@
 TEST_CASE("Members merge by incarnation, then heartbeat") {
   FleetView View;
   View.Self = HostId("me");
-  CHECK(mergeMember(View, memberOf("a", 5), absl::Seconds(2), at(10)));
+  CHECK(mergeCore(View, memberOf("a", 5), absl::Seconds(2), at(10)));
   CHECK(View.Members[HostId("a")].WrittenAt.SinceStart == absl::Seconds(8));
-  CHECK_FALSE(
-      mergeMember(View, memberOf("a", 4), absl::ZeroDuration(), at(11)));
+  CHECK_FALSE(mergeCore(View, memberOf("a", 4), absl::ZeroDuration(), at(11)));
   Member Replaced = memberOf("a", 1);
   Replaced.Life = Incarnation(2);
-  CHECK(mergeMember(View, Replaced, absl::ZeroDuration(), at(12)));
+  CHECK(mergeCore(View, Replaced, absl::ZeroDuration(), at(12)));
   CHECK(View.Members[HostId("a")].What.Life == Incarnation(2));
 }
 
@@ -53,26 +53,61 @@
 TEST_CASE("Members never take their own record from a peer") {
   FleetView View;
   View.Self = HostId("me");
-  CHECK_FALSE(
-      mergeMember(View, memberOf("me", 99), absl::ZeroDuration(), at(1)));
+  CHECK_FALSE(mergeCore(View, memberOf("me", 99), absl::ZeroDuration(), at(1)));
 }
 
-// Verifies that an exchange's size does not grow with the fleet.
+// Verifies that a message's size does not grow with the fleet.
 TEST_CASE("Exchanges stay bounded in a large fleet") {
   FleetView View = viewOf(350, 0, at(0));
-  CHECK(makeDigest(View).size() == MaxDigestEntries);
-  CHECK(newerThan(View, {}, at(1)).size() == MaxMembersInExchange);
+  GossipMessage Opened = openExchange(View, at(1), 0);
+  CHECK(Opened.Cores.size() == MaxCoresInMessage);
+  CHECK_FALSE(Opened.IsWhole);
+  GossipMessage Nothing;
+  Nothing.IsWhole = true;
+  GossipMessage Answered = answerExchange(View, Nothing, at(1), 0);
+  size_t Bytes = 0;
+  for (const GossipMessage::Detail &Each : Answered.Details)
+    Bytes += detailBytes(Each.Host, Each.What);
+  CHECK(Bytes <= MaxDetailBytes);
 }
 
-// Verifies that bounded digests cover the whole fleet in turn.
-TEST_CASE("Digests cover every member in turn") {
-  FleetView View = viewOf(150, 0, at(0));
-  std::set<std::string> Seen;
-  for (int I = 0; I < 3; ++I) {
-    for (const DigestEntry &Entry : makeDigest(View))
-      Seen.insert(Entry.Host.text());
+// Verifies that a host that knows nobody learns the whole fleet, details too,
+// from bounded messages.
+TEST_CASE("A host that knows nobody learns the fleet") {
+  FleetView Old = viewOf(60, 0, at(0));
+  FleetView New;
+  New.Self = HostId("new");
+  New.Members[New.Self] = KnownMember{memberOf("new", 1), at(0), false};
+  for (int Round = 1; Round <= 200; ++Round) {
+    // Every host writes a new record now and then.
+    std::string Name = "h" + std::to_string(Round % 60);
+    KnownMember &Written = Old.Members[HostId(Name)];
+    ++Written.What.Heartbeat;
+    Written.WrittenAt = at(Round);
+    GossipMessage Sent =
+        gossipFromJson(gossipToJson(openExchange(New, at(Round), 0)));
+    GossipMessage Back =
+        answerExchange(Old, Sent, at(Round), static_cast<size_t>(Round) * 13);
+    mergeMessage(New, gossipFromJson(gossipToJson(Back)), at(Round));
   }
-  CHECK(Seen.size() == 150);
+  CHECK(New.Members.size() == 61);
+  for (const auto &[Host, Known] : New.Members)
+    CHECK(Known.What.Detail.Version >= 0);
+}
+
+// Verifies that a replaced host's old detail is not taken for the new life's.
+TEST_CASE("A new life begins without the old one's detail") {
+  FleetView View;
+  View.Self = HostId("me");
+  mergeCore(View, memberOf("a", 5), absl::ZeroDuration(), at(1));
+  mergeDetail(View, HostId("a"), Incarnation(1), memberOf("a", 5).Detail);
+  CHECK(View.Members[HostId("a")].What.Detail.Version == 5);
+  Member Replaced = memberOf("a", 1);
+  Replaced.Life = Incarnation(2);
+  mergeCore(View, Replaced, absl::ZeroDuration(), at(2));
+  CHECK(View.Members[HostId("a")].What.Detail.Version == -1);
+  mergeDetail(View, HostId("a"), Incarnation(1), memberOf("a", 9).Detail);
+  CHECK(View.Members[HostId("a")].What.Detail.Version == -1);
 }
 
 // Verifies the three states of a view.
@@ -243,7 +278,7 @@
   FleetView View = viewOf(4, 0, at(100));
   View.Members[HostId("h1")].What.Leaving = true;
   View.Members[HostId("h2")].WrittenAt = at(10);
-  View.Members[HostId("h3")].What.Place = PlaceId("near");
+  View.Members[HostId("h3")].What.Detail.Place = PlaceId("near");
   std::vector<EntryAddress> Found =
       entryAddresses(View, PlaceId("near"), Times, at(101));
   REQUIRE(Found.size() == 2);
@@ -251,25 +286,37 @@
   CHECK(Found[1].Host == HostId("h0"));
 }
 
-// Verifies that a member's record survives its encoding and that hostile ones
-// are left out.
-TEST_CASE("Member records survive encoding and hostile text") {
-  Member Said = memberOf("a", 3, 9);
-  Said.Demand.push_back(WorkspaceDemand{WorkspaceId("w"), 2.5});
-  Said.Trips.push_back(
+// Verifies that a message survives its encoding and that hostile text makes
+// neither a crash nor a member.
+TEST_CASE("Gossip messages survive encoding and hostile text") {
+  FleetView View = viewOf(3, 9, at(5));
+  MemberDetail &Detail = View.Members[View.Self].What.Detail;
+  Detail.Demand.push_back(WorkspaceDemand{WorkspaceId("w"), 2.5});
+  Detail.Trips.push_back(
       VersionTrip{VersionKey{ModelId("m"), VersionId("v")}, "run", "why"});
-  Member Read;
-  REQUIRE(memberFromJson(memberToJson(Said), Read));
-  CHECK(Read.Demand.front().RequestsPerSecond == 2.5);
-  CHECK(Read.Trips.front().Run == "run");
-  rc::prop("any text is no member", [] {
+  GossipMessage Read =
+      gossipFromJson(gossipToJson(openExchange(View, at(6), 0)));
+  REQUIRE(Read.Cores.size() == 3);
+  CHECK(Read.Cores.front().What.Applied == Offset(9));
+  CHECK(Read.Cores.front().Age == absl::Seconds(1));
+  REQUIRE(Read.Details.size() == 1);
+  CHECK(Read.Details.front().What.Demand.front().RequestsPerSecond == 2.5);
+  CHECK(Read.Details.front().What.Trips.front().Run == "run");
+  rc::prop("any text is a message or none", [] {
     std::string Text = *rc::gen::arbitrary<std::string>();
-    absl::StatusOr<Json::Value> Value = parseJson(
-        "{\"members\":[{\"member\":" + Text + "}],\"d\":[" + Text + "]}");
-    if (!Value.ok())
-      return;
-    agedMembersFromJson(memberAt(*Value, "members"));
-    digestFromJson(memberAt(*Value, "d"));
+    int Number = *rc::gen::arbitrary<int>();
+    absl::StatusOr<Json::Value> Value =
+        parseJson("{\"cores\":[[\"h\"," + std::to_string(Number) +
+                  ",1,-5,0,0,0,0,0],[1],{}," + (Text.empty() ? "0" : "[]") +
+                  "],\"details\":[{\"h\":\"x\",\"a\":\"y\"}]}");
+    RC_ASSERT(Value.ok());
+    GossipMessage Heard = gossipFromJson(*Value);
+    for (const GossipMessage::Core &Each : Heard.Cores)
+      RC_ASSERT(Each.Age >= absl::ZeroDuration());
+    RC_ASSERT(Heard.Details.empty());
+    absl::StatusOr<Json::Value> Odd = parseJson(Text);
+    if (Odd.ok())
+      gossipFromJson(*Odd);
   });
 }
 
