--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -8,9 +8,9 @@
 #ifndef BERYLRAMP_OBSERVE_H
 #define BERYLRAMP_OBSERVE_H
 
-#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "berylramp/refusal.h"
+#include "berylramp/sync.h"
 #include "berylramp/units.h"
 #include <array>
 #include <atomic>
@@ -144,7 +144,7 @@
   static constexpr size_t ShardCount = 16;
   static constexpr size_t TracesInShard = 128;
   struct Shard {
-    mutable absl::Mutex Lock;
+    mutable Mutex Lock;
     std::deque<Trace> Kept;
   };
   std::array<Shard, ShardCount> Shards;
--- a/include/berylramp/policy.h
+++ b/include/berylramp/policy.h
@@ -96,7 +96,8 @@
   LeastLoaded,
   StaticCheapest,
   Direct,
-  Cascade
+  Cascade,
+  Lean
 };
 const char *planPolicyName(PlanPolicy Policy);
 /// False when no policy has that name.
@@ -119,8 +120,11 @@
   Tokens Out;
   bool RaterAnswers = false;
   absl::Duration RatingTime = absl::ZeroDuration();
-  /// Changes with every request; RoundRobin counts by it.
+  /// Changes with every request; RoundRobin and mixtures draw by it.
   uint64_t Turn = 0;
+  /// False when this one request has to meet the share by itself, as the first
+  /// of a session does, and not as one of many.
+  bool MayMix = true;
 };
 
 /// What to run for one request.
--- a/include/berylramp/timer.h
+++ b/include/berylramp/timer.h
@@ -8,8 +8,8 @@
 #ifndef BERYLRAMP_TIMER_H
 #define BERYLRAMP_TIMER_H
 
-#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "berylramp/sync.h"
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -70,7 +70,7 @@
   struct Ticker;
   static void run(Ticker &Which, absl::Duration Period, const Callback &Call);
 
-  absl::Mutex Lock;
+  Mutex Lock;
   std::map<Subscription, std::unique_ptr<Ticker>> Tickers;
   Subscription Next = 1;
 };
--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -9,7 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/strip.h"
-#include "absl/synchronization/mutex.h"
+#include "berylramp/sync.h"
 #include <array>
 #include <httplib.h>
 #include <map>
@@ -70,7 +70,7 @@
 
 struct HttpClientPool::Impl {
   struct Shard {
-    absl::Mutex Lock;
+    Mutex Lock;
     std::map<Endpoint, std::vector<ClientHandle>> Idle;
   };
   std::array<Shard, ShardCount> Shards;
@@ -82,7 +82,7 @@
   ClientHandle take(const Endpoint &To, bool Fresh) {
     if (!Fresh) {
       Shard &Home = this->shardOf(To);
-      absl::MutexLock Hold(&Home.Lock);
+      MutexLock Hold(&Home.Lock);
       auto &Idle = Home.Idle[To];
       if (!Idle.empty()) {
         ClientHandle Taken = std::move(Idle.back());
@@ -98,7 +98,7 @@
 
   void giveBack(const Endpoint &To, ClientHandle Client) {
     Shard &Home = this->shardOf(To);
-    absl::MutexLock Hold(&Home.Lock);
+    MutexLock Hold(&Home.Lock);
     auto &Idle = Home.Idle[To];
     if (Idle.size() < MaxIdleForEndpoint)
       Idle.push_back(std::move(Client));
@@ -157,7 +157,7 @@
 
 void HttpClientPool::forget(const Endpoint &To) {
   Impl::Shard &Home = this->Inner->shardOf(To);
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   Home.Idle.erase(To);
 }
 
--- a/src/http/elastic_task_queue.cpp
+++ b/src/http/elastic_task_queue.cpp
@@ -14,7 +14,7 @@
 ElasticTaskQueue::~ElasticTaskQueue() { this->shutdown(); }
 
 void ElasticTaskQueue::enqueue(std::function<void()> Task) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->Tasks.push_back(std::move(Task));
   if (this->Tasks.size() <= this->Idle ||
       this->Threads.size() >= this->MaxThreads)
@@ -26,9 +26,9 @@
   while (true) {
     std::function<void()> Task;
     {
-      absl::MutexLock Hold(&this->Lock);
+      MutexLock Hold(&this->Lock);
       ++this->Idle;
-      this->Lock.Await(absl::Condition(this, &ElasticTaskQueue::hasWork));
+      this->Lock.await([this] { return this->hasWork(); });
       --this->Idle;
       if (this->Tasks.empty())
         return;
@@ -42,7 +42,7 @@
 void ElasticTaskQueue::shutdown() {
   std::vector<std::thread> Finishing;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Stopping = true;
     Finishing.swap(this->Threads);
   }
--- a/src/http/elastic_task_queue.h
+++ b/src/http/elastic_task_queue.h
@@ -9,7 +9,7 @@
 #ifndef BERYLRAMP_SRC_HTTP_ELASTIC_TASK_QUEUE_H
 #define BERYLRAMP_SRC_HTTP_ELASTIC_TASK_QUEUE_H
 
-#include "absl/synchronization/mutex.h"
+#include "berylramp/sync.h"
 #include <deque>
 #include <functional>
 #include <httplib.h>
@@ -32,7 +32,7 @@
   bool hasWork() const { return this->Stopping || !this->Tasks.empty(); }
 
   const size_t MaxThreads;
-  absl::Mutex Lock;
+  Mutex Lock;
   std::deque<std::function<void()>> Tasks;
   std::vector<std::thread> Threads;
   size_t Idle = 0;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -79,7 +79,7 @@
 
 struct Metrics::Histograms {
   struct Slot {
-    mutable absl::Mutex Lock;
+    mutable Mutex Lock;
     LatencyHistogram Values = bh::make_histogram(
         LogAxis(BinCount, SmallestSeconds, LargestSeconds, "seconds"));
     double Sum = 0;
@@ -106,7 +106,7 @@
 void Metrics::observe(Latency Which, absl::Duration Took) {
   auto &Slot = this->Latencies->Slots[static_cast<size_t>(Which)];
   double Seconds = absl::ToDoubleSeconds(Took);
-  absl::MutexLock Hold(&Slot.Lock);
+  MutexLock Hold(&Slot.Lock);
   Slot.Values(Seconds);
   Slot.Sum += Seconds;
   Slot.Count += 1;
@@ -126,7 +126,7 @@
 
 double Metrics::quantile(Latency Which, double Q) const {
   const auto &Slot = this->Latencies->Slots[static_cast<size_t>(Which)];
-  absl::MutexLock Hold(&Slot.Lock);
+  MutexLock Hold(&Slot.Lock);
   return quantileOf(Slot.Values, Q);
 }
 
@@ -146,7 +146,7 @@
   for (int I = 0; I < LatencyCount; ++I) {
     const auto &Slot = this->Latencies->Slots[I];
     std::string Name = absl::StrCat("berylramp_", LatencyNames[I], "_seconds");
-    absl::MutexLock Hold(&Slot.Lock);
+    MutexLock Hold(&Slot.Lock);
     for (double Q : Quantiles)
       absl::StrAppend(&Out, Name, "{quantile=\"", Q, "\"} ",
                       quantileOf(Slot.Values, Q), "\n");
--- a/src/observe/trace.cpp
+++ b/src/observe/trace.cpp
@@ -32,7 +32,7 @@
 
 void TraceRing::keep(Trace Finished) {
   Shard &Home = this->Shards[stableHash(Finished.Request.text()) % ShardCount];
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   Home.Kept.push_back(std::move(Finished));
   if (Home.Kept.size() > TracesInShard)
     Home.Kept.pop_front();
@@ -40,7 +40,7 @@
 
 bool TraceRing::find(const RequestId &Request, Trace &Out) const {
   const Shard &Home = this->Shards[stableHash(Request.text()) % ShardCount];
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   for (auto Each = Home.Kept.rbegin(); Each != Home.Kept.rend(); ++Each) {
     if (Each->Request == Request) {
       Out = *Each;
--- a/src/policy/plan.cpp
+++ b/src/policy/plan.cpp
@@ -24,9 +24,10 @@
 constexpr double Caution = 1.3;
 constexpr int64_t TokensPerPricedUnit = 1000;
 
-constexpr std::array<const char *, 6> PolicyNames = {
-    "largest",         "round-robin", "least-loaded",
-    "static-cheapest", "direct",      "cascade"};
+constexpr std::array<const char *, 7> PolicyNames = {
+    "largest", "round-robin", "least-loaded", "static-cheapest",
+    "direct",  "cascade",     "lean"};
+constexpr uint64_t MixtureDraws = 10000;
 
 struct Weighed {
   const PlanOption *Option;
@@ -168,6 +169,90 @@
   return directPlan(*Direct, "cheapest that meets the share");
 }
 
+/// A plan as a point of share and cost: direct when Dear is null.
+struct PlanPoint {
+  const Weighed *Cheap = nullptr;
+  const Weighed *Dear = nullptr;
+  double Cost = 0;
+  double Share = 0;
+};
+
+std::vector<PlanPoint> planPoints(const std::vector<Weighed> &All,
+                                  const PlanInput &Input) {
+  std::vector<PlanPoint> Out;
+  for (const Weighed &Each : All) {
+    if (fitsDeadline(*Each.Option, Input))
+      Out.push_back(PlanPoint{&Each, nullptr, Each.Cost, Each.Share});
+  }
+  if (!Input.RaterAnswers)
+    return Out;
+  for (const Weighed &Cheap : All) {
+    for (const Weighed &Dear : All) {
+      if (Dear.Cost <= Cheap.Cost ||
+          !cascadeFitsDeadline(*Cheap.Option, *Dear.Option, Input))
+        continue;
+      CascadePair Pair = weighPair(Cheap, Dear);
+      Out.push_back(PlanPoint{&Cheap, &Dear, Pair.Cost, Pair.Share});
+    }
+  }
+  return Out;
+}
+
+/// The next corner of the lower hull after \p From: the point that buys a
+/// larger share at the least cost a share.
+const PlanPoint *nextCorner(const std::vector<PlanPoint> &Points,
+                            const PlanPoint &From) {
+  const PlanPoint *Best = nullptr;
+  double BestSlope = std::numeric_limits<double>::infinity();
+  for (const PlanPoint &Each : Points) {
+    if (Each.Share <= From.Share)
+      continue;
+    double Slope = (Each.Cost - From.Cost) / (Each.Share - From.Share);
+    if (Slope < BestSlope) {
+      Best = &Each;
+      BestSlope = Slope;
+    }
+  }
+  return Best;
+}
+
+Plan planOf(const PlanPoint &Point) {
+  if (Point.Dear == nullptr)
+    return directPlan(*Point.Cheap, "mixture, direct part");
+  Plan Out = cascadePlan(
+      CascadePair{Point.Cheap, Point.Dear, Point.Cost, Point.Share});
+  Out.Why = "mixture, " + Out.Why;
+  return Out;
+}
+
+/// Many requests of a kind together meet the share, each by one of two plans:
+/// the corners of the lower hull on both sides of the agreed share. No mixture
+/// of any plans is cheaper.
+Plan cheapestMixture(const std::vector<Weighed> &All, const PlanInput &Input) {
+  std::vector<PlanPoint> Points = planPoints(All, Input);
+  if (Points.empty())
+    return Plan{};
+  const PlanPoint *Low = &Points.front();
+  for (const PlanPoint &Each : Points) {
+    if (Each.Cost < Low->Cost)
+      Low = &Each;
+  }
+  double Wanted = Input.Kind.Share;
+  while (Low->Share < Wanted) {
+    const PlanPoint *High = nextCorner(Points, *Low);
+    if (High == nullptr)
+      return Plan{};
+    if (High->Share >= Wanted) {
+      double Part = (Wanted - Low->Share) / (High->Share - Low->Share);
+      double Draw = static_cast<double>(Input.Turn % MixtureDraws) /
+                    static_cast<double>(MixtureDraws);
+      return planOf(Draw < Part ? *High : *Low);
+    }
+    Low = High;
+  }
+  return planOf(*Low);
+}
+
 Plan bestEffort(const std::vector<Weighed> &All) {
   const Weighed *Best = &All.front();
   for (const Weighed &Each : All) {
@@ -240,9 +325,12 @@
     return directPlan(All.front(), "cheapest");
   case PlanPolicy::Direct:
   case PlanPolicy::Cascade:
+  case PlanPolicy::Lean:
     break;
   }
-  Plan Out = cheapestMeeting(All, Input, Policy == PlanPolicy::Cascade);
+  bool Mixes = Policy == PlanPolicy::Lean && Input.MayMix;
+  Plan Out = Mixes ? cheapestMixture(All, Input)
+                   : cheapestMeeting(All, Input, Policy != PlanPolicy::Direct);
   return Out.Found ? Out : bestEffort(All);
 }
 
--- a/src/router/admission.cpp
+++ b/src/router/admission.cpp
@@ -56,12 +56,12 @@
 }
 
 bool takeRetryFromBudget(RouterParts &Parts) {
-  absl::MutexLock Hold(&Parts.RetryLock);
+  MutexLock Hold(&Parts.RetryLock);
   return takeRetry(Parts.Retries);
 }
 
 void creditRetryBudget(RouterParts &Parts) {
-  absl::MutexLock Hold(&Parts.RetryLock);
+  MutexLock Hold(&Parts.RetryLock);
   creditRequest(Parts.Retries);
 }
 
--- a/src/router/bill_desk.cpp
+++ b/src/router/bill_desk.cpp
@@ -48,7 +48,7 @@
 }
 
 bool BillDesk::reserve() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (!hasRoom(this->Buffer, this->Reserved + this->HeldCount))
     return false;
   ++this->Reserved;
@@ -56,21 +56,21 @@
 }
 
 void BillDesk::release() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   --this->Reserved;
 }
 
 bool BillDesk::secure(const Bill &Which, absl::Duration Wait) {
   Instant Began = this->Context.Timer.now();
   std::string Key = Which.key();
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   int64_t Sequence = this->NextSequence++;
   addBill(this->Buffer, Which);
   this->Unlogged[Sequence] = Which;
   auto IsSafe = [this, &Key] {
     return safetyOf(this->Buffer, Key) != BillSafety::Nowhere;
   };
-  bool Safe = this->Lock.AwaitWithTimeout(absl::Condition(&IsSafe), Wait);
+  bool Safe = this->Lock.awaitFor(IsSafe, Wait);
   if (!Safe) {
     markLogged(this->Buffer, Key);
     this->Unlogged.erase(Sequence);
@@ -93,9 +93,9 @@
 
 /// Woken by work, so that an idle host does not poll.
 bool BillDesk::waitForWork() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto HasWork = [this] { return !this->Unlogged.empty(); };
-  return this->Lock.AwaitWithTimeout(absl::Condition(&HasWork), IdleWait);
+  return this->Lock.awaitFor(HasWork, IdleWait);
 }
 
 void BillDesk::appendAll() {
@@ -103,7 +103,7 @@
     std::vector<int64_t> Sequences;
     std::vector<Bill> Bills;
     {
-      absl::MutexLock Hold(&this->Lock);
+      MutexLock Hold(&this->Lock);
       for (const auto &[Sequence, Which] : this->Unlogged) {
         Sequences.push_back(Sequence);
         Bills.push_back(Which);
@@ -125,7 +125,7 @@
                                  this->Context.Timer.now() - Began);
     this->Context.Counts.count(Counter::BillsAppended,
                                static_cast<int64_t>(Bills.size()));
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     for (size_t I = 0; I < Bills.size(); ++I) {
       markLogged(this->Buffer, Bills[I].key());
       this->Unlogged.erase(Sequences[I]);
@@ -135,7 +135,7 @@
 
 std::vector<BillDesk::Waiting> BillDesk::unsafeBills() const {
   std::vector<Waiting> Out;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   for (const auto &[Sequence, Which] : this->Unlogged) {
     if (safetyOf(this->Buffer, Which.key()) == BillSafety::Nowhere)
       Out.push_back(Waiting{Sequence, Which});
@@ -191,7 +191,7 @@
         this->Context.Ports.Peers.Call(Peer.Address, "hold_bills", Params);
     if (!Answer.ok() || !boolAt(*Answer, "held"))
       continue;
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     for (const Waiting &Each : Which)
       markHeld(this->Buffer, Each.Which.key());
     if (++Holders == WantedHolders)
@@ -207,7 +207,7 @@
   if (Key.Origin.empty() || Bills.size() != Sequences.size())
     return absl::InvalidArgumentError("bills and sequences do not match");
   Json::Value Answer;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   bool Fits =
       hasRoom(this->Buffer, this->Reserved + this->HeldCount + Bills.size());
   Answer["held"] = Fits;
@@ -224,19 +224,19 @@
 }
 
 int64_t BillDesk::loggedUpTo() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (this->Unlogged.empty())
     return this->NextSequence - 1;
   return this->Unlogged.begin()->first - 1;
 }
 
 size_t BillDesk::pending() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Unlogged.size();
 }
 
 size_t BillDesk::held() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->HeldCount;
 }
 
@@ -244,7 +244,7 @@
   FleetView View = this->Fleet.view();
   std::map<HeldKey, std::map<int64_t, Bill>> Orphans;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     for (auto &[Key, Bills] : this->Held) {
       auto Found = View.Members.find(Key.Origin);
       bool IsSameLife =
@@ -276,7 +276,7 @@
   }
   this->Context.Counts.count(Counter::BillsAdopted,
                              static_cast<int64_t>(Batch.size()));
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->HeldCount -= this->Held[Key].size();
   this->Held.erase(Key);
 }
--- a/src/router/bill_desk.h
+++ b/src/router/bill_desk.h
@@ -10,8 +10,8 @@
 #ifndef BERYLRAMP_SRC_ROUTER_BILL_DESK_H
 #define BERYLRAMP_SRC_ROUTER_BILL_DESK_H
 
-#include "absl/synchronization/mutex.h"
 #include "berylramp/billing.h"
+#include "berylramp/sync.h"
 #include "context.h"
 #include "fleet_link.h"
 #include "worker.h"
@@ -72,7 +72,7 @@
   Worker HolderThread;
   TimerService::Subscription Tending = 0;
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   BillBuffer Buffer;
   /// Not yet in the log, by sequence number.
   std::map<int64_t, Bill> Unlogged;
--- a/src/router/claim_desk.cpp
+++ b/src/router/claim_desk.cpp
@@ -58,7 +58,7 @@
     Offset From;
     absl::Duration Wait = this->Context.Settings.LogWait;
     {
-      absl::MutexLock Hold(&Which.Lock);
+      MutexLock Hold(&Which.Lock);
       From = Which.State.Applied + Offset(1);
       // The first reads look for what is there, not for what comes.
       if (!Which.CaughtUp)
@@ -73,7 +73,7 @@
       continue;
     }
     {
-      absl::MutexLock Hold(&Which.Lock);
+      MutexLock Hold(&Which.Lock);
       Which.LogUp = false;
     }
     Which.Follower.pause(PauseAfterFailure);
@@ -81,7 +81,7 @@
 }
 
 void ClaimDesk::takePage(Shard &Which, const LogPage &Page) {
-  absl::MutexLock Hold(&Which.Lock);
+  MutexLock Hold(&Which.Lock);
   Which.LogUp = true;
   bool HasGap = Page.FirstKept > Which.State.Applied + Offset(1);
   if (HasGap) {
@@ -106,9 +106,9 @@
 void ClaimDesk::append(Shard &Which) {
   while (!Which.Appender.stopped()) {
     {
-      absl::MutexLock Hold(&Which.Lock);
+      MutexLock Hold(&Which.Lock);
       auto HasWork = [&Which] { return !Which.Queue.empty(); };
-      if (!Which.Lock.AwaitWithTimeout(absl::Condition(&HasWork), IdleWait))
+      if (!Which.Lock.awaitFor(HasWork, IdleWait))
         continue;
     }
     this->appendQueued(Which);
@@ -118,7 +118,7 @@
 void ClaimDesk::appendQueued(Shard &Which) {
   std::vector<std::string> Encoded;
   {
-    absl::MutexLock Hold(&Which.Lock);
+    MutexLock Hold(&Which.Lock);
     for (const Outgoing &Each : Which.Queue) {
       Encoded.push_back(Each.Encoded);
       if (Encoded.size() == MaxItemsInRecord)
@@ -134,7 +134,7 @@
     Which.Appender.pause(PauseAfterFailure);
     return;
   }
-  absl::MutexLock Hold(&Which.Lock);
+  MutexLock Hold(&Which.Lock);
   for (const std::string &Done : Encoded) {
     auto Found = std::find_if(
         Which.Queue.begin(), Which.Queue.end(),
@@ -159,7 +159,7 @@
 absl::StatusOr<ClaimJudgement> ClaimDesk::claim(const Claim &Which,
                                                 absl::Duration Wait) {
   Shard &Home = this->shardOf(Which.Identity);
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   if (!Home.LogUp || !Home.CaughtUp)
     return absl::UnavailableError("the log of claims cannot be read now");
   if (!coversIdentity(Home.State, Which.Identity,
@@ -187,7 +187,7 @@
       Judged.Verdict = ClaimVerdict::AlreadyDone;
     return Judged;
   }
-  Home.Lock.AwaitWithTimeout(absl::Condition(&IsJudged), Wait);
+  Home.Lock.awaitFor(IsJudged, Wait);
   if (Judged.Verdict == ClaimVerdict::Won)
     return Judged;
   decideNever(Home, Which);
@@ -199,7 +199,7 @@
 
 void ClaimDesk::abandon(const Claim &Which) {
   Shard &Home = this->shardOf(Which.Identity);
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   decideNever(Home, Which);
   this->Context.Counts.count(Counter::ClaimsVoided);
 }
@@ -207,14 +207,14 @@
 void ClaimDesk::finish(const Claim &Which, const std::string &OutcomeDigest) {
   Shard &Home = this->shardOf(Which.Identity);
   ClaimDone Done{Which.Identity, Which.Attempt, OutcomeDigest};
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   if (Home.Queue.size() < MaxQueued)
     Home.Queue.push_back(Outgoing{Which.Attempt, encodeDone(Done), false});
 }
 
 bool ClaimDesk::stillOwns(const Claim &Which) const {
   Shard &Home = this->shardOf(Which.Identity);
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   return judgeClaim(Home.State, Which.Identity, Which.Attempt, Which.BodyDigest)
              .Verdict == ClaimVerdict::Won;
 }
@@ -231,7 +231,7 @@
 
 bool ClaimDesk::lookUp(const ClaimIdentity &Identity, ClaimEntry &Out) const {
   Shard &Home = this->shardOf(Identity);
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   const ClaimEntry *Owner = findOwner(Home.State, Identity);
   if (Owner == nullptr)
     return false;
--- a/src/router/claim_desk.h
+++ b/src/router/claim_desk.h
@@ -8,8 +8,8 @@
 #ifndef BERYLRAMP_SRC_ROUTER_CLAIM_DESK_H
 #define BERYLRAMP_SRC_ROUTER_CLAIM_DESK_H
 
-#include "absl/synchronization/mutex.h"
 #include "berylramp/claims.h"
+#include "berylramp/sync.h"
 #include "context.h"
 #include "worker.h"
 #include <deque>
@@ -51,7 +51,7 @@
     StreamName Stream;
     Worker Follower;
     Worker Appender;
-    mutable absl::Mutex Lock;
+    mutable Mutex Lock;
     ClaimState State;
     bool LogUp = false;
     bool CaughtUp = false;
--- a/src/router/config_follower.cpp
+++ b/src/router/config_follower.cpp
@@ -41,36 +41,36 @@
 void ConfigFollower::stop() { this->Thread.stop(); }
 
 ConfigView ConfigFollower::view() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Current;
 }
 
 ViewEvidence ConfigFollower::evidence() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Evidence;
 }
 
 bool ConfigFollower::isLogUp() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->LogUp;
 }
 
 bool ConfigFollower::hasGap() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Gap;
 }
 
 void ConfigFollower::confirm(Instant At) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (!this->Evidence.EverConfirmed || this->Evidence.ConfirmedAt < At)
     this->Evidence.ConfirmedAt = At;
   this->Evidence.EverConfirmed = true;
 }
 
 bool ConfigFollower::waitFor(Offset At, absl::Duration For) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Reached = [this, At] { return this->Current.State->Applied >= At; };
-  return this->Lock.AwaitWithTimeout(absl::Condition(&Reached), For);
+  return this->Lock.awaitFor(Reached, For);
 }
 
 std::string ConfigFollower::snapshot() const {
@@ -90,7 +90,7 @@
 void ConfigFollower::publish(std::shared_ptr<const ConfigState> Next) {
   uint64_t Digest = configDigest(*Next);
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     // A peer's snapshot and the log may arrive at once; the higher one stays.
     if (Next->Applied <= this->Current.State->Applied)
       return;
@@ -113,7 +113,7 @@
     this->Context.Counts.count(Page.ok() ? Counter::LogReads
                                          : Counter::LogReadFailures);
     {
-      absl::MutexLock Hold(&this->Lock);
+      MutexLock Hold(&this->Lock);
       this->LogUp = Page.ok();
     }
     if (!Page.ok()) {
@@ -131,7 +131,7 @@
     return;
   }
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Gap = false;
   }
   if (!this->foldRecords(Page.Records)) {
@@ -204,7 +204,7 @@
     }
   }
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Gap = !Best.ok();
   }
   if (Best.ok()) {
--- a/src/router/config_follower.h
+++ b/src/router/config_follower.h
@@ -8,8 +8,8 @@
 #ifndef BERYLRAMP_SRC_ROUTER_CONFIG_FOLLOWER_H
 #define BERYLRAMP_SRC_ROUTER_CONFIG_FOLLOWER_H
 
-#include "absl/synchronization/mutex.h"
 #include "berylramp/fleet.h"
+#include "berylramp/sync.h"
 #include "berylramp/table.h"
 #include "context.h"
 #include "worker.h"
@@ -63,7 +63,7 @@
   Worker Thread;
   std::function<void()> OnChange;
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   ConfigView Current;
   ViewEvidence Evidence;
   bool LogUp = false;
--- a/src/router/fleet_link.cpp
+++ b/src/router/fleet_link.cpp
@@ -48,7 +48,7 @@
   Member Said;
   if (this->Describe)
     this->Describe(Said);
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   KnownMember &Self = this->View.Members[this->Context.Settings.Host];
   Member &What = Self.What;
   Said.Host = this->Context.Settings.Host;
@@ -78,18 +78,18 @@
 size_t FleetLink::drawTurn() { return absl::Uniform<uint32_t>(this->Draws); }
 
 std::shared_ptr<const FleetSummary> FleetLink::summary() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Summary;
 }
 
 void FleetLink::setLeaving() {
   this->Leaving = true;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->View.Members[this->Context.Settings.Host].What.Leaving = true;
 }
 
 void FleetLink::setFinished() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->View.Members[this->Context.Settings.Host].What.Finished = true;
 }
 
@@ -97,7 +97,7 @@
   this->refreshSelf();
   Instant Now = this->Context.Timer.now();
   if (this->freshness() == Freshness::Fresh) {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     forgetSilent(this->View, this->Context.Settings.Times, Now);
     this->View.KnownFloor = 0;
     this->View.KnownFloor = countKnown(this->View);
@@ -112,7 +112,7 @@
   std::map<HostId, PeerAddress> Found;
   for (const PeerSeed &Seed : this->Context.Settings.Peers)
     Found[Seed.Host] = PeerAddress{Seed.Host, PlaceId(), Seed.Address};
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   for (const PeerAddress &Each : this->Listed)
     Found[Each.Host] = Each;
   Instant Now = this->Context.Timer.now();
@@ -160,7 +160,7 @@
     Wanted = std::move(All);
   if (Wanted.empty())
     return false;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   Out = Wanted[absl::Uniform<size_t>(this->Draws, 0, Wanted.size())];
   return true;
 }
@@ -176,7 +176,7 @@
           : NeverConfirmed);
   Out["applied"] = Json::Int64(Table.State->Applied.count());
   Out["table"] = hexText(Table.Digest);
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   Out["floor"] = Json::UInt64(countKnown(this->View));
   return Out;
 }
@@ -184,7 +184,7 @@
 void FleetLink::exchangeWith(const PeerAddress &Peer) {
   Json::Value Message = this->makeMessage();
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     Message["gossip"] = gossipToJson(
         openExchange(this->View, this->Context.Timer.now(), this->drawTurn()));
   }
@@ -205,7 +205,7 @@
   Json::Value Answer = this->makeMessage();
   GossipMessage Heard = gossipFromJson(memberAt(Params, "gossip"));
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     mergeMessage(this->View, Heard, Now);
     Answer["gossip"] =
         gossipToJson(answerExchange(this->View, Heard, Now, this->drawTurn()));
@@ -219,7 +219,7 @@
   // Ages count from when the exchange began, so that the time under way makes
   // records and confirmations older, never younger.
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     mergeMessage(this->View, gossipFromJson(memberAt(Message, "gossip")),
                  Began);
     size_t Floor = static_cast<size_t>(std::clamp<int64_t>(
@@ -246,7 +246,7 @@
     this->Context.Counts.count(Counter::DigestMismatches);
     logEvent(LogLevel::Error, "table_digest_differs");
   }
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (!Differs)
     this->ConfirmedBeforeDivergence = Table.State->Applied;
   this->Diverged = Differs;
@@ -277,7 +277,7 @@
 }
 
 FleetView FleetLink::view() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->View;
 }
 
@@ -288,7 +288,7 @@
   if (Evidence.EverConfirmed &&
       Now - Evidence.ConfirmedAt <= this->Context.Settings.Times.FreshnessBound)
     return Freshness::Fresh;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return judgeFreshness(Evidence, this->View, this->Context.Settings.Times,
                         Now);
 }
@@ -296,7 +296,7 @@
 Acknowledgement FleetLink::acknowledge(Offset At) {
   this->refreshSelf();
   auto Judge = [this, At] {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     EditWatch &Watch = this->Watches[At];
     if (Watch.At == NoOffset)
       Watch = EditWatch{At, this->Context.Timer.now(), false, Instant{}};
@@ -323,13 +323,13 @@
 }
 
 bool FleetLink::isPeerGone(const HostId &Host, Incarnation Life) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return isGone(this->View, Host, Life, this->Context.Settings.Times,
                 this->Context.Timer.now());
 }
 
 bool FleetLink::addressOf(const HostId &Host, Endpoint &Out) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Found = this->View.Members.find(Host);
   if (Found == this->View.Members.end())
     return false;
@@ -338,13 +338,13 @@
 }
 
 std::vector<EntryAddress> FleetLink::entries(const PlaceId &Near) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return entryAddresses(this->View, Near, this->Context.Settings.Times,
                         this->Context.Timer.now());
 }
 
 bool FleetLink::hasDiverged() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Diverged;
 }
 
@@ -355,7 +355,7 @@
       Entries.push_back(
           PeerAddress{HostId(Each.Name), Each.Place, Each.Address});
   }
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->Listed = std::move(Entries);
 }
 
--- a/src/router/fleet_link.h
+++ b/src/router/fleet_link.h
@@ -10,8 +10,8 @@
 #define BERYLRAMP_SRC_ROUTER_FLEET_LINK_H
 
 #include "absl/random/random.h"
-#include "absl/synchronization/mutex.h"
 #include "berylramp/fleet.h"
+#include "berylramp/sync.h"
 #include "config_follower.h"
 #include "context.h"
 #include <atomic>
@@ -84,7 +84,7 @@
   std::atomic<int64_t> Ticks{0};
   std::atomic<bool> Leaving{false};
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   FleetView View;
   std::shared_ptr<const FleetSummary> Summary;
   std::map<Offset, EditWatch> Watches;
--- a/src/router/generation_plan.cpp
+++ b/src/router/generation_plan.cpp
@@ -212,6 +212,7 @@
   Input.RaterAnswers = MayCascade && this->Parts.Ratings.raterAnswers();
   Input.RatingTime = this->Parts.Ratings.ratingTime();
   Input.Turn = this->Draw;
+  Input.MayMix = !this->Asked.WantsSession;
   this->Chosen = makePlan(this->Parts.Context.Settings.Plans, Input);
   this->note("plan", absl::StrCat(this->Chosen.First.text(),
                                   this->Chosen.IsCascade
--- a/src/router/kept_answers.h
+++ b/src/router/kept_answers.h
@@ -8,7 +8,7 @@
 #ifndef BERYLRAMP_SRC_ROUTER_KEPT_ANSWERS_H
 #define BERYLRAMP_SRC_ROUTER_KEPT_ANSWERS_H
 
-#include "absl/synchronization/mutex.h"
+#include "berylramp/sync.h"
 #include "berylramp/units.h"
 #include <array>
 #include <deque>
@@ -27,7 +27,7 @@
 public:
   void keep(const AttemptId &Attempt, KeptAnswer Answer) {
     Shard &Home = this->shardOf(Attempt);
-    absl::MutexLock Hold(&Home.Lock);
+    MutexLock Hold(&Home.Lock);
     bool IsNew = Home.Answers.emplace(Attempt, std::move(Answer)).second;
     if (IsNew)
       Home.Order.push_back(Attempt);
@@ -39,7 +39,7 @@
 
   bool find(const AttemptId &Attempt, KeptAnswer &Out) {
     Shard &Home = this->shardOf(Attempt);
-    absl::MutexLock Hold(&Home.Lock);
+    MutexLock Hold(&Home.Lock);
     auto Found = Home.Answers.find(Attempt);
     if (Found == Home.Answers.end())
       return false;
@@ -51,7 +51,7 @@
   static constexpr size_t ShardCount = 16;
   static constexpr size_t AnswersInShard = 512;
   struct Shard {
-    absl::Mutex Lock;
+    Mutex Lock;
     std::map<AttemptId, KeptAnswer> Answers;
     std::deque<AttemptId> Order;
   };
--- a/src/router/limit_desk.cpp
+++ b/src/router/limit_desk.cpp
@@ -41,7 +41,7 @@
 LimitVerdict LimitDesk::take(const LimitRow &Row, const OthersDemand &Others,
                              Tokens Wanted, Instant Now) {
   Shard &Home = this->Shards[stableHash(Row.Workspace.text()) % ShardCount];
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   Entry &Mine = Home.Entries[Row.Workspace];
   Mine.Demand.add(1, Now);
   double Share = limitShare(Mine.Demand.at(Now), Others);
@@ -51,7 +51,7 @@
 double LimitDesk::share(const WorkspaceId &Workspace,
                         const OthersDemand &Others, Instant Now) const {
   const Shard &Home = this->Shards[stableHash(Workspace.text()) % ShardCount];
-  absl::MutexLock Hold(&Home.Lock);
+  MutexLock Hold(&Home.Lock);
   auto Found = Home.Entries.find(Workspace);
   double Mine = Found == Home.Entries.end() ? 0 : Found->second.Demand.at(Now);
   return limitShare(Mine, Others);
@@ -60,7 +60,7 @@
 std::vector<WorkspaceDemand> LimitDesk::demand(Instant Now) const {
   std::vector<WorkspaceDemand> Out;
   for (const Shard &Home : this->Shards) {
-    absl::MutexLock Hold(&Home.Lock);
+    MutexLock Hold(&Home.Lock);
     for (const auto &[Workspace, Each] : Home.Entries) {
       double Rate = twoDigits(Each.Demand.at(Now));
       if (Rate > NegligibleRate)
--- a/src/router/limit_desk.h
+++ b/src/router/limit_desk.h
@@ -7,9 +7,9 @@
 #ifndef BERYLRAMP_SRC_ROUTER_LIMIT_DESK_H
 #define BERYLRAMP_SRC_ROUTER_LIMIT_DESK_H
 
-#include "absl/synchronization/mutex.h"
 #include "berylramp/fleet.h"
 #include "berylramp/policy.h"
+#include "berylramp/sync.h"
 #include <array>
 #include <map>
 #include <vector>
@@ -42,7 +42,7 @@
   };
   static constexpr size_t ShardCount = 16;
   struct Shard {
-    mutable absl::Mutex Lock;
+    mutable Mutex Lock;
     std::map<WorkspaceId, Entry> Entries;
   };
   std::array<Shard, ShardCount> Shards;
--- a/src/router/parts.h
+++ b/src/router/parts.h
@@ -38,7 +38,7 @@
   TraceRing Traces;
   std::atomic<int64_t> Streams{0};
 
-  absl::Mutex RetryLock;
+  Mutex RetryLock;
   RetryBudget Retries;
 };
 
--- a/src/router/rating_desk.cpp
+++ b/src/router/rating_desk.cpp
@@ -35,7 +35,7 @@
 void RatingDesk::stop() {
   std::vector<std::unique_ptr<Worker>> Ending;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Stopping = true;
     Ending.swap(this->Workers);
   }
@@ -44,7 +44,7 @@
 }
 
 void RatingDesk::submit(Job Which) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (this->Stopping || this->Jobs.size() >= MaxJobs) {
     int &Count = this->Unrated[Which.Query.Version];
     Count = std::max(0, Count - 1);
@@ -59,9 +59,9 @@
 }
 
 bool RatingDesk::nextJob(Job &Out) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Ready = [this] { return this->Stopping || !this->Jobs.empty(); };
-  this->Lock.Await(absl::Condition(&Ready));
+  this->Lock.await(Ready);
   if (this->Stopping)
     return false;
   Out = std::move(this->Jobs.front());
@@ -85,7 +85,7 @@
   absl::StatusOr<Rating> Found = absl::UnavailableError("not rated");
   while (!Found.ok() && this->Context.Timer.now() - Began < BackgroundWait) {
     {
-      absl::MutexLock Hold(&this->Lock);
+      MutexLock Hold(&this->Lock);
       if (this->Stopping)
         break;
     }
@@ -100,8 +100,8 @@
 }
 
 void RatingDesk::pause(absl::Duration For) const {
-  absl::MutexLock Hold(&this->Lock);
-  this->Lock.AwaitWithTimeout(absl::Condition(&this->Stopping), For);
+  MutexLock Hold(&this->Lock);
+  this->Lock.awaitFor([this] { return this->Stopping; }, For);
 }
 
 absl::StatusOr<Rating> RatingDesk::rateNow(const Job &Which,
@@ -128,7 +128,7 @@
   const RatingQuery &Query = Which.Query;
   VersionTrip Trip{Query.Version, Which.Run, ""};
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     Tally &Sum = this->Tallies[PairKey{Query.Kind, Query.Version}];
     Sum.Good += IsGood ? 1 : 0;
     Sum.Rated += 1;
@@ -152,18 +152,18 @@
 }
 
 int RatingDesk::unrated(const VersionKey &Key) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Found = this->Unrated.find(Key);
   return Found == this->Unrated.end() ? 0 : Found->second;
 }
 
 void RatingDesk::reserveUnrated(const VersionKey &Key) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   ++this->Unrated[Key];
 }
 
 void RatingDesk::releaseUnrated(const VersionKey &Key) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   int &Count = this->Unrated[Key];
   Count = std::max(0, Count - 1);
 }
@@ -178,7 +178,7 @@
 
 std::vector<RatingTally> RatingDesk::tallies() const {
   std::vector<RatingTally> Out;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   for (const auto &[Key, Sum] : this->Tallies)
     Out.push_back(RatingTally{Key.Kind, Key.Version, std::llround(Sum.Good),
                               std::llround(Sum.Rated)});
@@ -186,13 +186,13 @@
 }
 
 std::vector<VersionTrip> RatingDesk::trips() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Trips;
 }
 
 int64_t RatingDesk::ratedInRun(const VersionKey &Key,
                                const std::string &Run) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Found = this->Runs.find(RunKey{Key, Run});
   return Found == this->Runs.end() ? 0 : Found->second.Rated;
 }
--- a/src/router/rating_desk.h
+++ b/src/router/rating_desk.h
@@ -8,8 +8,8 @@
 #ifndef BERYLRAMP_SRC_ROUTER_RATING_DESK_H
 #define BERYLRAMP_SRC_ROUTER_RATING_DESK_H
 
-#include "absl/synchronization/mutex.h"
 #include "berylramp/fleet.h"
+#include "berylramp/sync.h"
 #include "context.h"
 #include "worker.h"
 #include <atomic>
@@ -94,7 +94,7 @@
   std::atomic<int> FailuresInRow{0};
   std::atomic<int64_t> RatingMicros{0};
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   std::deque<Job> Jobs;
   bool Stopping = false;
   std::map<PairKey, Tally> Tallies;
--- a/src/router/replica_board.cpp
+++ b/src/router/replica_board.cpp
@@ -35,7 +35,7 @@
   Out.IdHash = this->IdHash;
   Out.LinkMicros = this->LinkMicros;
   Out.IsAcross = this->IsAcross;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   Out.Running = this->Load.Running;
   Out.Waiting = this->Load.Waiting;
   Out.Slots = this->Load.Slots;
@@ -48,35 +48,35 @@
 }
 
 std::vector<VersionKey> Replica::versions() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Load.Versions;
 }
 
 void Replica::takeReport(const EngineLoad &Report) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->Load = Report;
   this->SentSince = 0;
   this->SaidLeaving = false;
 }
 
 void Replica::setListedLeaving(bool Leaving) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->ListedLeaving = Leaving;
 }
 
 void Replica::markLeaving() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->SaidLeaving = true;
 }
 
 void Replica::beginCall() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   ++this->OwnInFlight;
   ++this->SentSince;
 }
 
 bool Replica::endCall(bool Failed, Instant Now) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   --this->OwnInFlight;
   int Before = this->Health.Ejections;
   noteReplicaResult(this->Health, Failed, Now);
@@ -108,7 +108,7 @@
 }
 
 std::shared_ptr<const ReplicaIndex> ReplicaBoard::index() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Index;
 }
 
@@ -127,7 +127,7 @@
   if (!Listed.ok())
     return;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     std::map<UpstreamId, std::shared_ptr<Replica>> Next;
     for (const ListedHost &Each : *Listed) {
       if (Each.Role == HostRole::Entry)
@@ -154,7 +154,7 @@
 void ReplicaBoard::pollShard(size_t Shard) {
   ReplicaList Mine;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     for (const auto &[Id, Each] : this->All) {
       if (Each->IdHash % PollShards == Shard)
         Mine.push_back(Each);
@@ -174,7 +174,7 @@
 }
 
 void ReplicaBoard::rebuildIndex() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Next = std::make_shared<ReplicaIndex>();
   for (const auto &[Id, Each] : this->All) {
     if (!Each->Service.empty())
--- a/src/router/replica_board.h
+++ b/src/router/replica_board.h
@@ -8,7 +8,7 @@
 #ifndef BERYLRAMP_SRC_ROUTER_REPLICA_BOARD_H
 #define BERYLRAMP_SRC_ROUTER_REPLICA_BOARD_H
 
-#include "absl/synchronization/mutex.h"
+#include "berylramp/sync.h"
 #include "context.h"
 #include "worker.h"
 #include <atomic>
@@ -41,7 +41,7 @@
   bool endCall(bool Failed, Instant Now);
 
 private:
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   EngineLoad Load;
   ReplicaHealth Health;
   int OwnInFlight = 0;
@@ -77,7 +77,7 @@
   std::function<void(const std::vector<ListedHost> &)> OnListed;
   std::vector<TimerService::Subscription> Subscriptions;
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   std::map<UpstreamId, std::shared_ptr<Replica>> All;
   std::shared_ptr<const ReplicaIndex> Index;
 };
--- a/src/router/worker.h
+++ b/src/router/worker.h
@@ -8,8 +8,8 @@
 #ifndef BERYLRAMP_SRC_ROUTER_WORKER_H
 #define BERYLRAMP_SRC_ROUTER_WORKER_H
 
-#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "berylramp/sync.h"
 #include <functional>
 #include <thread>
 
@@ -26,7 +26,7 @@
   /// Asks the body to end and waits until it has.
   void stop() {
     {
-      absl::MutexLock Hold(&this->Lock);
+      MutexLock Hold(&this->Lock);
       this->Stopping = true;
     }
     if (this->Thread.joinable())
@@ -34,18 +34,18 @@
   }
 
   bool stopped() const {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     return this->Stopping;
   }
 
   /// Waits for the duration, or until stop().
   void pause(absl::Duration For) {
-    absl::MutexLock Hold(&this->Lock);
-    this->Lock.AwaitWithTimeout(absl::Condition(&this->Stopping), For);
+    MutexLock Hold(&this->Lock);
+    this->Lock.awaitFor([this] { return this->Stopping; }, For);
   }
 
 private:
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   bool Stopping = false;
   std::thread Thread;
 };
--- a/src/settings/entry_schema.h
+++ b/src/settings/entry_schema.h
@@ -64,7 +64,7 @@
     "max_connections": {"type": "integer", "minimum": 8, "maximum": 65536},
     "bill_buffer": {"type": "integer", "minimum": 1},
     "plan_policy": {"enum": ["largest", "round-robin", "least-loaded",
-                             "static-cheapest", "direct", "cascade"]},
+                             "static-cheapest", "direct", "cascade", "lean"]},
     "replica_policy": {"enum": ["round-robin", "least-loaded", "two-choices",
                                 "affinity"]},
     "verbose": {"type": "boolean"}
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -19,7 +19,8 @@
 
 constexpr std::array<const char *, 4> ReplicaPolicyNames = {
     "round-robin", "least-loaded", "two-choices", "affinity"};
-constexpr const char *Hidden = "(hidden)";
+/// Too short for a key, so that printed settings cannot be used as they are.
+constexpr const char *Hidden = "hidden";
 
 void readMillis(const Json::Value &In, const char *Key, absl::Duration &Out) {
   Out = absl::Milliseconds(intAt(In, Key, absl::ToInt64Milliseconds(Out)));
--- a/src/timer/timer.cpp
+++ b/src/timer/timer.cpp
@@ -13,12 +13,12 @@
 namespace berylramp {
 
 struct ThreadTimer::Ticker {
-  absl::Mutex Lock;
+  Mutex Lock;
   bool Stopped = false;
   std::thread Thread;
 
   void halt() {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Stopped = true;
   }
 };
@@ -38,9 +38,9 @@
                       const Callback &Call) {
   while (true) {
     {
-      absl::MutexLock Hold(&Which.Lock);
+      MutexLock Hold(&Which.Lock);
       bool Stopped =
-          Which.Lock.AwaitWithTimeout(absl::Condition(&Which.Stopped), Period);
+          Which.Lock.awaitFor([&Which] { return Which.Stopped; }, Period);
       if (Stopped)
         return;
     }
@@ -52,7 +52,7 @@
                                               Callback Call) {
   auto Made = std::make_unique<Ticker>();
   Ticker &Which = *Made;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   Subscription Id = this->Next++;
   this->Tickers[Id] = std::move(Made);
   Which.Thread = std::thread(
@@ -63,7 +63,7 @@
 void ThreadTimer::cancel(Subscription Which) {
   std::unique_ptr<Ticker> Taken;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     auto Found = this->Tickers.find(Which);
     if (Found == this->Tickers.end())
       return;
@@ -77,7 +77,7 @@
 void ThreadTimer::stop() {
   std::map<Subscription, std::unique_ptr<Ticker>> Taken;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     Taken.swap(this->Tickers);
   }
   for (auto &[Id, Which] : Taken)
--- a/src/tools/load/driver.cpp
+++ b/src/tools/load/driver.cpp
@@ -170,7 +170,7 @@
     absl::SleepFor(Due - absl::Now());
     Sample Out = this->send(Which, Due);
     Out.DueAt = Due - Start;
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Samples.push_back(std::move(Out));
   }
 }
@@ -211,7 +211,7 @@
 }
 
 std::string Driver::sessionToken(const Arrival &Which) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->SessionTokens[sessionKey(Which)];
 }
 
@@ -219,7 +219,7 @@
   std::string Token = Answer.header("X-Session-Token");
   if (Token.empty())
     return;
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->SessionTokens[sessionKey(Which)] = Token;
 }
 
@@ -305,12 +305,12 @@
 
 Endpoint Driver::address() {
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     if (absl::Now() < this->AddressesUntil && !this->Addresses.empty())
       return this->Addresses[this->Turn++ % this->Addresses.size()];
   }
   this->refreshAddresses();
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   // Another worker may have dropped the last address meanwhile.
   if (this->Addresses.empty())
     return this->Given.Entries.front();
@@ -320,7 +320,7 @@
 void Driver::refreshAddresses() {
   std::vector<Endpoint> Known = this->Given.Entries;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     Known.insert(Known.begin(), this->Addresses.begin(), this->Addresses.end());
   }
   for (const Endpoint &Each : Known) {
@@ -341,20 +341,20 @@
     }
     if (Found.empty())
       continue;
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     this->Addresses = std::move(Found);
     this->AddressesUntil =
         absl::Now() + absl::Milliseconds(intAt(*Body, "ttl_ms", 5000));
     return;
   }
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (this->Addresses.empty())
     this->Addresses = this->Given.Entries;
   this->AddressesUntil = absl::Now() + DefaultTtl / 10;
 }
 
 void Driver::dropAddress(const Endpoint &Which) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto &All = this->Addresses;
   All.erase(std::remove(All.begin(), All.end(), Which), All.end());
   if (All.empty())
--- a/src/tools/load/driver.h
+++ b/src/tools/load/driver.h
@@ -9,8 +9,8 @@
 #ifndef BERYLRAMP_SRC_TOOLS_LOAD_DRIVER_H
 #define BERYLRAMP_SRC_TOOLS_LOAD_DRIVER_H
 
-#include "absl/synchronization/mutex.h"
 #include "berylramp/http.h"
+#include "berylramp/sync.h"
 #include "workload.h"
 #include <atomic>
 #include <map>
@@ -71,7 +71,7 @@
   std::string Model;
 
   std::atomic<size_t> Next{0};
-  absl::Mutex Lock;
+  Mutex Lock;
   std::vector<Endpoint> Addresses;
   absl::Time AddressesUntil = absl::InfinitePast();
   size_t Turn = 0;
--- a/src/tools/load/main.cpp
+++ b/src/tools/load/main.cpp
@@ -7,6 +7,7 @@
 
 #include "berylramp/json.h"
 #include "berylramp/settings.h"
+#include "experiment.h"
 #include "report.h"
 
 #include <fstream>
@@ -24,6 +25,8 @@
 
 struct Options {
   std::string WorkloadPath;
+  std::string ExperimentPath;
+  std::string Policy;
   std::string ReportPath;
   std::string CompareWith;
   std::string CompareModel;
@@ -35,10 +38,18 @@
                       "codes: 0 no promise broken, 1 bills missing or doubled "
                       "orders, 2 bad command line or workload.",
                       ' ', BERYLRAMP_VERSION);
-  TCLAP::ValueArg<std::string> Workload("w", "workload", "JSON workload", true,
+  TCLAP::ValueArg<std::string> Workload("w", "workload", "JSON workload", false,
                                         "", "FILE", Line);
-  TCLAP::ValueArg<std::string> Report(
-      "r", "report", "where to write the JSON report", false, "", "FILE", Line);
+  TCLAP::ValueArg<std::string> Experiment(
+      "x", "experiment", "compare the policies of this experiment", false, "",
+      "FILE", Line);
+  TCLAP::ValueArg<std::string> Policy("", "policy",
+                                      "run only this one of the experiment",
+                                      false, "", "NAME", Line);
+  TCLAP::ValueArg<std::string> Report("r", "report",
+                                      "where to write the JSON report; for "
+                                      "an experiment without its ending",
+                                      false, "", "FILE", Line);
   TCLAP::ValueArg<std::string> Compare(
       "", "compare", "an engine to send the same load to directly", false, "",
       "IP:PORT", Line);
@@ -50,8 +61,9 @@
       "OUTCOME", Line);
   Line.setExceptionHandling(false);
   Line.parse(Argc, Argv);
-  return Options{Workload.getValue(), Report.getValue(), Compare.getValue(),
-                 Model.getValue(), Forbid.getValue()};
+  return Options{Workload.getValue(), Experiment.getValue(), Policy.getValue(),
+                 Report.getValue(),   Compare.getValue(),    Model.getValue(),
+                 Forbid.getValue()};
 }
 
 absl::StatusOr<Json::Value> getJson(HttpClientPool &Pool, const Endpoint &To,
@@ -159,6 +171,13 @@
   } catch (const TCLAP::ExitException &Done) {
     return Done.getExitStatus();
   }
+  if (!Chosen.ExperimentPath.empty()) {
+    absl::Status Ran =
+        runExperiment(Chosen.ExperimentPath, Chosen.ReportPath, Chosen.Policy);
+    if (!Ran.ok())
+      std::cerr << Ran.message() << "\n";
+    return Ran.ok() ? 0 : ExitUsage;
+  }
   absl::StatusOr<std::string> Text = readFile(Chosen.WorkloadPath);
   absl::StatusOr<Workload> Given =
       Text.ok() ? readWorkload(*Text) : Text.status();
--- a/src/tools/standin/engine.cpp
+++ b/src/tools/standin/engine.cpp
@@ -89,17 +89,17 @@
 void Engine::stop() { this->Server.stop(); }
 
 bool Engine::isLeaving() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Knobs.Leaving;
 }
 
 std::map<std::string, int64_t> Engine::begun() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Begun;
 }
 
 void Engine::setKnobs(const Json::Value &In) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   EngineKnobs &Out = this->Knobs;
   Out.Leaving = boolAt(In, "leaving", Out.Leaving);
   Out.RefusesLeaving = boolAt(In, "refuses_leaving", Out.RefusesLeaving);
@@ -127,7 +127,7 @@
   Out.Priority = static_cast<int>(intAt(Body, "priority"));
   Out.ResumeFrom = intAt(Body, "resume_from");
   const Json::Value &Messages = arrayAt(Body, "messages");
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Found = this->Model.Versions.find(Out.Version);
   if (Found == this->Model.Versions.end() || Messages.empty())
     return false;
@@ -158,7 +158,7 @@
 void Engine::chat(const HttpRequest &In, HttpReply &Out) {
   absl::SleepFor(this->Model.LinkDelay);
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     if (this->Knobs.Leaving && this->Knobs.RefusesLeaving) {
       Out.Status = StatusUnavailable;
       return;
@@ -180,26 +180,26 @@
 }
 
 void Engine::takeSlot(const Order &Which) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   auto Mine = this->WaitingPriorities.insert(Which.Priority);
   auto MyTurn = [&] {
     bool Highest = *this->WaitingPriorities.rbegin() <= Which.Priority;
     return this->Running < this->Model.Slots && Highest;
   };
-  this->Lock.Await(absl::Condition(&MyTurn));
+  this->Lock.await(MyTurn);
   this->WaitingPriorities.erase(Mine);
   ++this->Running;
   this->RunningTokens += Which.PromptTokens + Which.AnswerTokens;
 }
 
 void Engine::giveSlot(const Order &Which) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   --this->Running;
   this->RunningTokens -= Which.PromptTokens + Which.AnswerTokens;
 }
 
 int64_t Engine::missingPrompt(const Order &Which) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (this->Cached.count(Which.Prefix) != 0)
     return std::max<int64_t>(1, Which.PromptTokens - Which.PrefixTokens);
   this->Cached[Which.Prefix] = Which.PrefixTokens;
@@ -215,7 +215,7 @@
 }
 
 double Engine::pace() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   double Over = static_cast<double>(this->RunningTokens) /
                     static_cast<double>(this->Model.CacheTokens) -
                 1;
@@ -225,7 +225,7 @@
 bool Engine::produce(const Order &Which, const HttpWriter &Write) {
   absl::Duration Extra;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     Extra = this->Knobs.ExtraDelay;
   }
   int64_t Missing = this->missingPrompt(Which);
@@ -266,7 +266,7 @@
 }
 
 void Engine::load(HttpReply &Out) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (absl::Now() - this->LastReportAt >= this->Knobs.ReportLag) {
     this->LastReport = this->reportNow();
     this->LastReportAt = absl::Now();
@@ -280,7 +280,7 @@
     Out.Status = StatusBadRequest;
     return;
   }
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   int64_t Fence = intAt(*Body, "fence", -1);
   if (this->Knobs.ChecksFence && Fence < this->HighestFence) {
     Out.Status = StatusConflict;
--- a/src/tools/standin/engine.h
+++ b/src/tools/standin/engine.h
@@ -10,9 +10,9 @@
 #ifndef BERYLRAMP_SRC_TOOLS_STANDIN_ENGINE_H
 #define BERYLRAMP_SRC_TOOLS_STANDIN_ENGINE_H
 
-#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "berylramp/http.h"
+#include "berylramp/sync.h"
 #include <deque>
 #include <json/value.h>
 #include <map>
@@ -110,7 +110,7 @@
   EngineModel Model;
   HttpServer Server;
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   EngineKnobs Knobs;
   int Running = 0;
   std::multiset<int> WaitingPriorities;
--- a/src/tools/standin/log_service.cpp
+++ b/src/tools/standin/log_service.cpp
@@ -46,7 +46,7 @@
 }
 
 void LogService::setKnobs(const Json::Value &In) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   LogKnobs &Out = this->Knobs;
   Out.Down = boolAt(In, "down", Out.Down);
   Out.LoseAnswers =
@@ -60,17 +60,17 @@
 }
 
 LogKnobs LogService::knobs() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Knobs;
 }
 
 void LogService::close() {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->Closed = true;
 }
 
 int64_t LogService::appends() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Appends;
 }
 
@@ -93,7 +93,7 @@
     Out.Status = StatusUnavailable;
     return;
   }
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   Stream &Which = this->Streams[Name];
   ++this->Appends;
   int64_t At = Which.Tail++;
@@ -118,12 +118,12 @@
   }
   int64_t From = wholeParam(In, "from");
   absl::Duration Wait = absl::Milliseconds(wholeParam(In, "wait_ms"));
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   Stream &Which = this->Streams[Name];
   auto Ready = [&] {
     return this->Closed || this->Knobs.Down || Which.Tail > From;
   };
-  this->Lock.AwaitWithTimeout(absl::Condition(&Ready), Wait);
+  this->Lock.awaitFor(Ready, Wait);
   if (this->Knobs.Down) {
     Out.Status = StatusUnavailable;
     return;
--- a/src/tools/standin/log_service.h
+++ b/src/tools/standin/log_service.h
@@ -8,9 +8,9 @@
 #ifndef BERYLRAMP_SRC_TOOLS_STANDIN_LOG_SERVICE_H
 #define BERYLRAMP_SRC_TOOLS_STANDIN_LOG_SERVICE_H
 
-#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "berylramp/http.h"
+#include "berylramp/sync.h"
 #include <deque>
 #include <json/value.h>
 #include <map>
@@ -53,7 +53,7 @@
   void expire(Stream &Which) const;
   LogKnobs knobs() const;
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   LogKnobs Knobs;
   std::map<std::string, Stream> Streams;
   int64_t Appends = 0;
--- a/src/tools/standin/platform.cpp
+++ b/src/tools/standin/platform.cpp
@@ -106,7 +106,7 @@
 }
 
 void PlainService::setKnobs(const Json::Value &In) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->LoseAnswers =
       static_cast<int>(intAt(In, "lose_answers", this->LoseAnswers));
   if (!memberAt(In, "delay_ms").isNull())
@@ -114,7 +114,7 @@
 }
 
 std::map<std::string, int64_t> PlainService::runs() const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Runs;
 }
 
@@ -122,7 +122,7 @@
   absl::Duration Wait;
   bool Loses = false;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     std::string Key = In.header("Idempotency-Key");
     ++this->Runs[Key.empty() ? "(none)" : Key];
     Loses = this->LoseAnswers > 0;
@@ -221,7 +221,7 @@
   }
   for (std::unique_ptr<PlainService> &Each : this->Services)
     Each->setKnobs(memberAt(In, "service"));
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   const Json::Value &Rater = memberAt(In, "rater");
   this->RaterDown = boolAt(Rater, "down", this->RaterDown);
   if (!memberAt(Rater, "late_ms").isNull())
@@ -233,7 +233,7 @@
 
 void Platform::addEntry(const std::string &Name, const PlaceId &Place,
                         const Endpoint &Address) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   this->Entries.append(listedHost(Name, Place, "entry", Address));
 }
 
@@ -253,7 +253,7 @@
 }
 
 void Platform::listHosts(HttpReply &Out) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (absl::Now() - this->LastListAt >= this->ListLag) {
     this->LastList = this->hostsNow();
     this->LastListAt = absl::Now();
@@ -295,12 +295,12 @@
   std::string Key = textAt(*Body, "request") + "/" + textAt(*Body, "version");
   absl::Time AskedAt;
   {
-    absl::MutexLock Hold(&this->Lock);
+    MutexLock Hold(&this->Lock);
     AskedAt = this->RateAskedAt.emplace(Key, absl::Now()).first->second;
   }
   while (true) {
     {
-      absl::MutexLock Hold(&this->Lock);
+      MutexLock Hold(&this->Lock);
       bool IsDue = absl::Now() >= AskedAt + this->RaterLate;
       if (this->RaterDown) {
         Out.Status = StatusUnavailable;
--- a/src/tools/standin/platform.h
+++ b/src/tools/standin/platform.h
@@ -35,7 +35,7 @@
   PlaceId Place;
   Endpoint Address;
   HttpServer Server;
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   std::map<std::string, int64_t> Runs;
   /// The next answers lost after the call took effect.
   int LoseAnswers = 0;
@@ -70,7 +70,7 @@
   std::vector<std::unique_ptr<Engine>> Engines;
   std::vector<std::unique_ptr<PlainService>> Services;
 
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   Json::Value Entries;
   absl::Duration ListLag = absl::ZeroDuration();
   Json::Value LastList;
--- a/test/fleet_fixture.cpp
+++ b/test/fleet_fixture.cpp
@@ -4,7 +4,6 @@
 
 #include "berylramp/billing.h"
 #include "berylramp/json.h"
-#include "berylramp/rpc.h"
 #include "berylramp/table.h"
 
 #include "absl/time/clock.h"
@@ -60,7 +59,7 @@
 std::string freshKey() { return makeUuidV7(absl::ToUnixMillis(absl::Now())); }
 
 void CutList::set(const Endpoint &Address, bool IsCut) {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   if (IsCut)
     this->Cut.insert(Address);
   else
@@ -68,73 +67,53 @@
 }
 
 bool CutList::has(const Endpoint &Address) const {
-  absl::MutexLock Hold(&this->Lock);
+  MutexLock Hold(&this->Lock);
   return this->Cut.count(Address) != 0;
 }
 
-TestHost::TestHost(EntrySettings Settings, LogPort Log, CutList &Cuts)
-    : Name(Settings.Host), Cuts(Cuts),
-      Pool(std::make_shared<HttpClientPool>()) {
-  this->Work = std::make_unique<Router>(
-      Settings, this->makePorts(Settings, std::move(Log)), this->Timer,
-      this->Counts);
-  HttpServerLimits Limits;
-  Limits.KeepAlive = absl::Seconds(1);
-  this->Server = std::make_unique<HttpServer>(Limits);
-  this->Work->addRoutes(*this->Server);
-  this->Address = *this->Server->bind(Settings.Listen);
-  this->Work->start(this->Address);
-  this->Server->serve();
+TestHost::TestHost(const EntrySettings &Settings, CutList &Cuts) : Cuts(Cuts) {
+  this->Entry = std::make_unique<standin::LocalEntry>(
+      Settings, [this](RouterPorts &Ports) { this->adapt(Ports); });
 }
 
-TestHost::~TestHost() { this->kill(); }
-
 void TestHost::cutOff(bool Wanted) {
   this->IsCut = Wanted;
-  this->Cuts.set(this->Address, Wanted);
+  this->Cuts.set(this->address(), Wanted);
 }
 
 void TestHost::kill() {
-  if (!this->Server)
-    return;
   this->IsCut = true;
-  this->Server->stop();
-  this->Server.reset();
-  this->Work->stop();
+  this->Entry->stop();
 }
 
-RouterPorts TestHost::makePorts(const EntrySettings &Settings, LogPort Log) {
-  RouterPorts Ports;
-  Ports.Log.Append = [this, Log](const StreamName &Stream,
-                                 const std::string &Data) {
+void TestHost::adapt(RouterPorts &Ports) {
+  const absl::Status Cut = absl::UnavailableError("cut off");
+  Ports.Log.Append = [this, Cut, Append = Ports.Log.Append](
+                         const StreamName &Stream,
+                         const std::string &Data) -> absl::StatusOr<Offset> {
     if (this->IsCut)
-      return absl::StatusOr<Offset>(absl::UnavailableError("cut off"));
-    return Log.Append(Stream, Data);
+      return Cut;
+    return Append(Stream, Data);
   };
-  Ports.Log.Read = [this, Log](const StreamName &Stream, Offset From,
-                               absl::Duration Wait) {
+  Ports.Log.Read = [this, Cut, Read = Ports.Log.Read](
+                       const StreamName &Stream, Offset From,
+                       absl::Duration Wait) -> absl::StatusOr<LogPage> {
     if (this->IsCut)
-      return absl::StatusOr<LogPage>(absl::UnavailableError("cut off"));
-    absl::StatusOr<LogPage> Page = Log.Read(Stream, From, Wait);
+      return Cut;
+    absl::StatusOr<LogPage> Page = Read(Stream, From, Wait);
     // An answer under way when the cut came does not arrive.
     if (this->IsCut)
-      return absl::StatusOr<LogPage>(absl::UnavailableError("cut off"));
+      return Cut;
     return Page;
   };
-  Ports.Hosts = makeHttpHostList(this->Pool, Settings.HostList);
-  Ports.Rater = makeHttpRater(this->Pool, Settings.Rater);
-  Ports.Upstreams = makeHttpUpstreams(this->Pool);
-  PeerPort Peers =
-      makePeerPort(makePeerTransport(this->Pool), Settings.PeerKeys.front(),
-                   [](size_t, size_t) {});
-  Ports.Peers.Call = [this, Peers](const Endpoint &To,
-                                   const std::string &Method,
-                                   const Json::Value &Params) {
+  Ports.Peers.Call =
+      [this, Cut, Call = Ports.Peers.Call](
+          const Endpoint &To, const std::string &Method,
+          const Json::Value &Params) -> absl::StatusOr<Json::Value> {
     if (this->IsCut || this->Cuts.has(To))
-      return absl::StatusOr<Json::Value>(absl::UnavailableError("cut off"));
-    return Peers.Call(To, Method, Params);
+      return Cut;
+    return Call(To, Method, Params);
   };
-  return Ports;
 }
 
 TestFleet::TestFleet(int Count) : Pool(std::make_shared<HttpClientPool>()) {
@@ -181,8 +160,7 @@
 
 void TestFleet::addHost(int Index) {
   EntrySettings Settings = this->settingsFor(Index);
-  this->Hosts.push_back(std::make_unique<TestHost>(
-      Settings, makeHttpLog(this->Pool, Settings.Log), this->Cuts));
+  this->Hosts.push_back(std::make_unique<TestHost>(Settings, this->Cuts));
   TestHost &Added = *this->Hosts.back();
   this->Services->addEntry(Added.id().text(), Settings.Place, Added.address());
 }
--- a/test/fleet_fixture.h
+++ b/test/fleet_fixture.h
@@ -9,7 +9,7 @@
 #define BERYLRAMP_TEST_FLEET_FIXTURE_H
 
 #include "berylramp/http.h"
-#include "berylramp/router.h"
+#include "local_entry.h"
 #include "platform.h"
 #include <atomic>
 #include <functional>
@@ -31,37 +31,30 @@
   bool has(const Endpoint &Address) const;
 
 private:
-  mutable absl::Mutex Lock;
+  mutable Mutex Lock;
   std::set<Endpoint> Cut;
 };
 
-/// One entry host: a router behind an HTTP server.
+/// One entry host that can be cut off from the log and its peers.
 class TestHost {
 public:
-  TestHost(EntrySettings Settings, LogPort Log, CutList &Cuts);
-  ~TestHost();
+  TestHost(const EntrySettings &Settings, CutList &Cuts);
 
-  const HostId &id() const { return this->Name; }
-  const Endpoint &address() const { return this->Address; }
-  Metrics &counts() { return this->Counts; }
-  Router &router() { return *this->Work; }
+  const HostId &id() const { return this->Entry->id(); }
+  const Endpoint &address() const { return this->Entry->address(); }
+  Metrics &counts() { return this->Entry->counts(); }
+  Router &router() { return this->Entry->router(); }
   /// Cuts the host off from its peers and the log, both ways.
   void cutOff(bool IsCut);
   /// Ends without handing anything over, as a killed process does.
   void kill();
 
 private:
-  RouterPorts makePorts(const EntrySettings &Settings, LogPort Log);
+  void adapt(RouterPorts &Ports);
 
-  HostId Name;
   CutList &Cuts;
-  Endpoint Address;
-  ThreadTimer Timer;
-  Metrics Counts;
-  std::shared_ptr<HttpClientPool> Pool;
-  std::unique_ptr<Router> Work;
-  std::unique_ptr<HttpServer> Server;
   std::atomic<bool> IsCut{false};
+  std::unique_ptr<standin::LocalEntry> Entry;
 };
 
 /// The platform and its hosts.
--- a/test/router_config_test.cpp
+++ b/test/router_config_test.cpp
@@ -86,7 +86,7 @@
   Settings.LogRetention = absl::Seconds(2);
   Settings.Claims.Length = absl::Seconds(1);
   auto Pool = std::make_shared<HttpClientPool>();
-  TestHost Keeper(Settings, makeHttpLog(Pool, Settings.Log), Fleet.cuts());
+  TestHost Keeper(Settings, Fleet.cuts());
   REQUIRE(eventually(
       [&] { return Keeper.counts().value(Counter::SnapshotsPublished) > 0; }));
   LogPort Log = makeHttpLog(Pool, Settings.Log);
@@ -99,7 +99,7 @@
   Keeper.kill();
   Settings = Fleet.settingsFor(6);
   Settings.Peers.clear();
-  TestHost Starter(Settings, makeHttpLog(Pool, Settings.Log), Fleet.cuts());
+  TestHost Starter(Settings, Fleet.cuts());
   CHECK(eventually([&] {
     HttpCall Call;
     Call.Path = "/readyz";
