--- a/src/router/generation_run.cpp
+++ b/src/router/generation_run.cpp
@@ -206,8 +206,14 @@
     Job.Query.Prompt = this->Asked.Messages.back().Content;
   Job.Query.Answer = Answer.Text;
   Job.Quality = this->Admitted.Kind.Quality;
+  const Table &Rows = *this->Admitted.Table.State->Compiled;
+  Job.Run = runOf(Rows, Answer.Version);
+  // A cheap version that serves as the first of a cascade is below the agreed
+  // share by design; it turns bad when it falls below what it is expected.
   Job.AgreedShare = this->Admitted.Kind.Share;
-  Job.Run = runOf(*this->Admitted.Table.State->Compiled, Answer.Version);
+  auto Found = Rows.Versions.find(Answer.Version);
+  if (Found != Rows.Versions.end())
+    Job.AgreedShare = std::min(Job.AgreedShare, Found->second.ExpectedShare);
   return Job;
 }
 
--- a/src/tools/load/experiment.cpp
+++ b/src/tools/load/experiment.cpp
@@ -19,6 +19,7 @@
 #include <cmath>
 #include <fstream>
 #include <iostream>
+#include <thread>
 
 namespace berylramp::load {
 
@@ -224,6 +225,15 @@
   return Worst;
 }
 
+void stopAll(std::vector<std::unique_ptr<standin::LocalEntry>> &Entries) {
+  std::vector<std::thread> Stopping;
+  Stopping.reserve(Entries.size());
+  for (std::unique_ptr<standin::LocalEntry> &Each : Entries)
+    Stopping.emplace_back([&Each] { Each->stop(); });
+  for (std::thread &Each : Stopping)
+    Each.join();
+}
+
 PolicyResult runPolicy(const Experiment &Given, const Json::Value &Policy) {
   standin::Platform Services(Given.Platform);
   if (!Services.start().ok())
@@ -264,8 +274,7 @@
   Out.ClairvoyantCost = Bound.total();
   for (std::unique_ptr<standin::LocalEntry> &Each : Entries)
     Out.BytesAcross += Each->counts().value(Counter::BytesAcross);
-  for (std::unique_ptr<standin::LocalEntry> &Each : Entries)
-    Each->stop();
+  stopAll(Entries);
   return Out;
 }
 
--- a/src/tools/load/main.cpp
+++ b/src/tools/load/main.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "berylramp/json.h"
+#include "berylramp/observe.h"
 #include "berylramp/settings.h"
 #include "experiment.h"
 #include "report.h"
@@ -172,6 +173,7 @@
     return Done.getExitStatus();
   }
   if (!Chosen.ExperimentPath.empty()) {
+    startLogging(HostId("experiment"), PlaceId("local"), /*Verbose=*/false);
     absl::Status Ran =
         runExperiment(Chosen.ExperimentPath, Chosen.ReportPath, Chosen.Policy);
     if (!Ran.ok())
--- a/src/tools/standin/platform.cpp
+++ b/src/tools/standin/platform.cpp
@@ -11,6 +11,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include <thread>
 
 namespace berylramp::standin {
 
@@ -190,11 +191,15 @@
 
 void Platform::stop() {
   this->Log.close();
-  this->Server.stop();
+  // Each server waits for its idle connections, so all stop at once.
+  std::vector<std::thread> Stopping;
+  Stopping.emplace_back([this] { this->Server.stop(); });
   for (std::unique_ptr<Engine> &Each : this->Engines)
-    Each->stop();
+    Stopping.emplace_back([&Each] { Each->stop(); });
   for (std::unique_ptr<PlainService> &Each : this->Services)
-    Each->stop();
+    Stopping.emplace_back([&Each] { Each->stop(); });
+  for (std::thread &Each : Stopping)
+    Each.join();
 }
 
 Engine *Platform::findEngine(const std::string &Name) const {
--- a/test/fleet_fixture.h
+++ b/test/fleet_fixture.h
@@ -94,6 +94,7 @@
   std::shared_ptr<HttpClientPool> Pool;
   std::unique_ptr<standin::Platform> Services;
   CutList Cuts;
+  std::atomic<int> ChatNumber{0};
   std::vector<std::unique_ptr<TestHost>> Hosts;
 };
 
--- a/test/router_failure_test.cpp
+++ b/test/router_failure_test.cpp
@@ -236,6 +236,45 @@
   CHECK(BegunOnE1() == Before);
 }
 
+// Verifies that a version whose answers turn bad is tripped, held by an edit of
+// the fleet, and left out on every host.
+TEST_CASE("Versions that turn bad are held on every host") {
+  TestFleet Fleet(3);
+  Fleet.publishTable();
+  Fleet.knobs(R"({"engines":{"*":{"shares":{"m/cheap":0.2}}}})");
+  REQUIRE(eventually([&] {
+    for (size_t I = 0; I < Fleet.size(); ++I)
+      Fleet.chat(I, "note");
+    Json::Value Rows = Fleet.admin(0, "/v1/admin/table")["rows"];
+    return textAt(Rows["version/m/cheap"], "state") == "held";
+  }));
+  for (size_t I = 0; I < Fleet.size(); ++I) {
+    REQUIRE(eventually([&] {
+      Json::Value Rows = Fleet.admin(I, "/v1/admin/table")["rows"];
+      return textAt(Rows["version/m/cheap"], "state") == "held";
+    }));
+  }
+  int64_t Before = Fleet.begunOn("m/cheap");
+  for (size_t I = 0; I < Fleet.size(); ++I)
+    CHECK(Fleet.chat(I, "note").Status == 200);
+  CHECK(Fleet.begunOn("m/cheap") == Before);
+}
+
+// Verifies that a version which is below the agreed share by design, as the
+// first of a cascade, is not held for it.
+TEST_CASE("Versions below the agreed share by design are not held") {
+  TestFleet Fleet(1);
+  Fleet.publishTable();
+  Fleet.knobs(R"({"engines":{"*":{"shares":{"m/cheap":0.7}}}})");
+  EditId Id = Fleet.publish({"version/m/cheap.expected_share=0.65"}, Offset(0));
+  REQUIRE(Fleet.waitInForce(0, Id));
+  for (int I = 0; I < 120; ++I)
+    REQUIRE(Fleet.chat(0, "note").Status == 200);
+  CHECK(Fleet.begunOn("m/cheap") > 100);
+  CHECK(Fleet.host(0).counts().value(Counter::Escalations) > 10);
+  CHECK(Fleet.host(0).counts().value(Counter::HoldsTripped) == 0);
+}
+
 // Verifies that a host that leaves is offered to no one, serves what it was
 // offered for, and is drained only then.
 TEST_CASE("Leaving hosts are not offered and finish their streams") {
