Hold a bad candidate on the whole fleet's ratings

Cause: at 5 percent over eight hosts each host hears few ratings of a candidate, so no host's own test tripped within 40 s; only the plans moved away from it.

Change: ratings carry the roll-out's run; the sum over the fleet is tested too, and any host writes the hold under its derived id. Default plan policy is lean.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -106,8 +106,8 @@
   for (int I = 0; I < 12; ++I)
     Out.Detail.Ratings.push_back(RatingTally{
         RequestKindId(absl::StrCat("kind-", I % 4)),
-        VersionKey{ModelId("model"), VersionId(absl::StrCat("v", I))}, 90,
-        100});
+        VersionKey{ModelId("model"), VersionId(absl::StrCat("v", I))},
+        ServingRun, 90, 100});
   return Out;
 }
 
--- a/include/berylramp/fleet.h
+++ b/include/berylramp/fleet.h
@@ -33,16 +33,21 @@
   }
 };
 
+/// The run of ratings outside any roll-out.
+inline constexpr const char *ServingRun = "serving";
+
 /// Ratings that one host heard for a version under one request kind.
 struct RatingTally {
   RequestKindId Kind;
   VersionKey Version;
+  /// The roll-out's run, or ServingRun.
+  std::string Run;
   int64_t Good = 0;
   int64_t Rated = 0;
 
   friend bool operator==(const RatingTally &A, const RatingTally &B) {
-    return A.Kind == B.Kind && A.Version == B.Version && A.Good == B.Good &&
-           A.Rated == B.Rated;
+    return A.Kind == B.Kind && A.Version == B.Version && A.Run == B.Run &&
+           A.Good == B.Good && A.Rated == B.Rated;
   }
 };
 
@@ -257,7 +262,10 @@
       return A.Version == B.Version ? A.Kind < B.Kind : A.Version < B.Version;
     }
   };
+  /// Over all runs of a version: what plans believe.
   std::map<PairKey, RatingTally> Ratings;
+  /// By run: what a candidate is judged by.
+  std::vector<RatingTally> RunRatings;
   std::vector<VersionTrip> Trips;
   std::map<WorkspaceId, double> DemandOfOthers;
   size_t LiveHosts = 1;
--- a/include/berylramp/policy.h
+++ b/include/berylramp/policy.h
@@ -284,6 +284,10 @@
 void addRating(VersionTest &Test, bool IsGood, double AgreedShare);
 bool hasTripped(const VersionTest &Test);
 
+/// The evidence of all ratings of a version together, in no order; negative
+/// when they speak for it. It may lag, but it sees what no host sees alone.
+double evidenceOf(int64_t Good, int64_t Rated, double AgreedShare);
+
 /// Unrated answers that a candidate may have out on one host.
 int candidateRoom(int FleetWide, size_t LiveHosts);
 /// Unrated answers that a candidate may have out in the whole fleet.
--- a/include/berylramp/settings.h
+++ b/include/berylramp/settings.h
@@ -65,7 +65,7 @@
   size_t MaxBodyBytes = 1 << 20;
   size_t MaxConnections = 2048;
   size_t BillBuffer = 10000;
-  PlanPolicy Plans = PlanPolicy::Cascade;
+  PlanPolicy Plans = PlanPolicy::Lean;
   ReplicaPolicy Replicas = ReplicaPolicy::Affinity;
   bool Verbose = false;
 };
--- a/include/berylramp/units.h
+++ b/include/berylramp/units.h
@@ -147,6 +147,9 @@
 /// The time part of a UUIDv7 in milliseconds, or -1 when \p Text is none.
 int64_t uuidV7Millis(const std::string &Text);
 
+/// A random number for one choice.
+uint64_t randomDraw();
+
 /// Hosts agree on this hash (XXH3): it may choose shards and owners.
 uint64_t stableHash(const std::string &Text);
 
--- a/scripts/lib-fleet.sh
+++ b/scripts/lib-fleet.sh
@@ -11,6 +11,7 @@
 stop_fleet() {
   for pid in "${daemon_pid[@]}" $platform_pid; do
     kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
   done
   rm -rf "$work"
 }
--- a/src/fleet/member_codec.cpp
+++ b/src/fleet/member_codec.cpp
@@ -73,9 +73,10 @@
   for (const WorkspaceDemand &Each : Which.Demand)
     Out["d"].append(rowOf({Each.Workspace.text(), Each.RequestsPerSecond}));
   for (const RatingTally &Each : Which.Ratings)
-    Out["r"].append(rowOf({Each.Version.Model.text(),
-                           Each.Version.Version.text(), Each.Kind.text(),
-                           Json::Int64(Each.Good), Json::Int64(Each.Rated)}));
+    Out["r"].append(
+        rowOf({Each.Version.Model.text(), Each.Version.Version.text(),
+               Each.Kind.text(), Json::Int64(Each.Good),
+               Json::Int64(Each.Rated), Each.Run}));
   for (const VersionTrip &Each : Which.Trips)
     Out["t"].append(
         rowOf({Each.Version.Model.text(), Each.Version.Version.text(), Each.Run,
@@ -91,9 +92,10 @@
                         std::max(0.0, itemNumber(Demand[I], 1))});
   const Json::Value &Ratings = arrayAt(Item, "r");
   for (Json::ArrayIndex I = 0; I < boundedSize(Ratings); ++I)
-    Out.Ratings.push_back(RatingTally{
-        RequestKindId(itemText(Ratings[I], 2)), versionAt(Ratings[I]),
-        itemWhole(Ratings[I], 3), itemWhole(Ratings[I], 4)});
+    Out.Ratings.push_back(
+        RatingTally{RequestKindId(itemText(Ratings[I], 2)),
+                    versionAt(Ratings[I]), itemText(Ratings[I], 5),
+                    itemWhole(Ratings[I], 3), itemWhole(Ratings[I], 4)});
   const Json::Value &Trips = arrayAt(Item, "t");
   for (Json::ArrayIndex I = 0; I < boundedSize(Trips); ++I)
     Out.Trips.push_back(VersionTrip{versionAt(Trips[I]), itemText(Trips[I], 2),
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -221,6 +221,25 @@
   return Out;
 }
 
+namespace {
+
+/// Only roll-outs are summed by run: they are few.
+void addRunRating(FleetSummary &Out, const RatingTally &Tally) {
+  if (Tally.Run == ServingRun)
+    return;
+  for (RatingTally &Sum : Out.RunRatings) {
+    if (Sum.Kind != Tally.Kind || Sum.Version != Tally.Version ||
+        Sum.Run != Tally.Run)
+      continue;
+    Sum.Good += Tally.Good;
+    Sum.Rated += Tally.Rated;
+    return;
+  }
+  Out.RunRatings.push_back(Tally);
+}
+
+} // namespace
+
 FleetSummary summarizeFleet(const FleetView &View, const FleetTimes &Times,
                             Instant Now) {
   FleetSummary Out;
@@ -234,6 +253,7 @@
           Out.Ratings[FleetSummary::PairKey{Tally.Kind, Tally.Version}];
       Sum.Good += Tally.Good;
       Sum.Rated += Tally.Rated;
+      addRunRating(Out, Tally);
     }
     for (const VersionTrip &Trip : Detail.Trips) {
       if (std::find(Out.Trips.begin(), Out.Trips.end(), Trip) ==
@@ -266,7 +286,7 @@
                       const VersionKey &Version) {
   auto Found = Summary.Ratings.find(FleetSummary::PairKey{Kind, Version});
   if (Found == Summary.Ratings.end())
-    return RatingTally{Kind, Version, 0, 0};
+    return RatingTally{Kind, Version, "", 0, 0};
   return Found->second;
 }
 
--- a/src/policy/judgement.cpp
+++ b/src/policy/judgement.cpp
@@ -21,6 +21,14 @@
 constexpr int WholeTraffic = 100;
 constexpr const char *FleetAuthor = "berylramp";
 
+/// What one rating says against the agreed share.
+double stepOf(bool IsGood, double AgreedShare) {
+  double Agreed = std::clamp(AgreedShare, LeastShare, MostShare);
+  double Worse = Agreed * BadShareFactor;
+  return IsGood ? std::log(Worse / Agreed)
+                : std::log((1 - Worse) / (1 - Agreed));
+}
+
 CellChange setCell(const std::string &RowKey, const char *Field,
                    std::string Value) {
   return CellChange{RowKey, Field, std::move(Value), false};
@@ -28,11 +36,13 @@
 
 } // namespace
 
+double evidenceOf(int64_t Good, int64_t Rated, double AgreedShare) {
+  return static_cast<double>(Good) * stepOf(true, AgreedShare) +
+         static_cast<double>(Rated - Good) * stepOf(false, AgreedShare);
+}
+
 void addRating(VersionTest &Test, bool IsGood, double AgreedShare) {
-  double Agreed = std::clamp(AgreedShare, LeastShare, MostShare);
-  double Worse = Agreed * BadShareFactor;
-  double Step =
-      IsGood ? std::log(Worse / Agreed) : std::log((1 - Worse) / (1 - Agreed));
+  double Step = stepOf(IsGood, AgreedShare);
   Test.Evidence = std::max(0.0, Test.Evidence + Step);
   ++(IsGood ? Test.Good : Test.Bad);
 }
--- a/src/router/generation_plan.cpp
+++ b/src/router/generation_plan.cpp
@@ -45,7 +45,7 @@
   auto Found = Rows.Rollouts.find(Key.Model);
   if (Found != Rows.Rollouts.end() && Found->second.Candidate == Key.Version)
     return Found->second.Run;
-  return "serving";
+  return ServingRun;
 }
 
 Generation::Generation(RouterParts &Parts, ChatRequest Request)
--- a/src/router/generation_run.cpp
+++ b/src/router/generation_run.cpp
@@ -7,7 +7,6 @@
 
 #include "generation.h"
 
-#include "absl/random/random.h"
 #include "absl/strings/str_cat.h"
 #include <algorithm>
 
@@ -22,11 +21,6 @@
 constexpr uint64_t RateOneIn = 4;
 constexpr int64_t KnownAfterRatings = 100;
 
-uint64_t randomDraw() {
-  static thread_local absl::BitGen Bits;
-  return absl::Uniform<uint64_t>(Bits);
-}
-
 const char *faultName(UpstreamFault Fault) {
   switch (Fault) {
   case UpstreamFault::None:
--- a/src/router/rating_desk.cpp
+++ b/src/router/rating_desk.cpp
@@ -129,7 +129,7 @@
   VersionTrip Trip{Query.Version, Which.Run, ""};
   {
     MutexLock Hold(&this->Lock);
-    Tally &Sum = this->Tallies[PairKey{Query.Kind, Query.Version}];
+    Tally &Sum = this->Tallies[PairKey{Query.Kind, Query.Version, Which.Run}];
     Sum.Good += IsGood ? 1 : 0;
     Sum.Rated += 1;
     if (Sum.Rated > TallyBound)
@@ -180,8 +180,8 @@
   std::vector<RatingTally> Out;
   MutexLock Hold(&this->Lock);
   for (const auto &[Key, Sum] : this->Tallies)
-    Out.push_back(RatingTally{Key.Kind, Key.Version, std::llround(Sum.Good),
-                              std::llround(Sum.Rated)});
+    Out.push_back(RatingTally{Key.Kind, Key.Version, Key.Run,
+                              std::llround(Sum.Good), std::llround(Sum.Rated)});
   return Out;
 }
 
--- a/src/router/rating_desk.h
+++ b/src/router/rating_desk.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <vector>
 
 namespace berylramp::internal {
@@ -59,8 +60,10 @@
   struct PairKey {
     RequestKindId Kind;
     VersionKey Version;
+    std::string Run;
     friend bool operator<(const PairKey &A, const PairKey &B) {
-      return A.Kind == B.Kind ? A.Version < B.Version : A.Kind < B.Kind;
+      return std::tie(A.Kind, A.Version, A.Run) <
+             std::tie(B.Kind, B.Version, B.Run);
     }
   };
   struct RunKey {
--- a/src/router/rollout_driver.cpp
+++ b/src/router/rollout_driver.cpp
@@ -31,6 +31,7 @@
 void RolloutDriver::tick() {
   ConfigView View = this->Parts.Config.view();
   this->holdTripped(View);
+  this->holdByFleet(View);
   if (this->Parts.Fleet.freshness() == Freshness::Fresh)
     this->stepRollouts(View);
 }
@@ -71,6 +72,32 @@
   }
 }
 
+void RolloutDriver::holdByFleet(const ConfigView &View) {
+  const Table &Rows = *View.State->Compiled;
+  std::shared_ptr<const FleetSummary> Summary = this->Parts.Fleet.summary();
+  for (const RatingTally &Sum : Summary->RunRatings) {
+    auto Kind = Rows.Kinds.find(Sum.Kind);
+    auto Version = Rows.Versions.find(Sum.Version);
+    auto Rollout = Rows.Rollouts.find(Sum.Version.Model);
+    bool IsCurrent = Kind != Rows.Kinds.end() &&
+                     Version != Rows.Versions.end() &&
+                     Rollout != Rows.Rollouts.end() &&
+                     Rollout->second.Candidate == Sum.Version.Version &&
+                     Rollout->second.Run == Sum.Run &&
+                     Version->second.State == VersionState::Candidate;
+    if (!IsCurrent)
+      continue;
+    double Baseline =
+        std::min(Kind->second.Share, Version->second.ExpectedShare);
+    if (evidenceOf(Sum.Good, Sum.Rated, Baseline) < TripEvidence)
+      continue;
+    std::string Why =
+        absl::StrCat(Sum.Kind.text(), " in the whole fleet: ", Sum.Good,
+                     " good of ", Sum.Rated);
+    this->append(makeHold(Sum.Version, Sum.Run, Why, View.State->Applied));
+  }
+}
+
 int64_t RolloutDriver::ratedOf(const Table &Rows, const VersionKey &Key) const {
   int64_t Sum = 0;
   for (const auto &[Kind, Row] : Rows.Kinds)
--- a/src/router/rollout_driver.h
+++ b/src/router/rollout_driver.h
@@ -23,6 +23,9 @@
 private:
   void tick();
   void holdTripped(const ConfigView &View);
+  /// Holds a candidate on the ratings of the whole fleet, of which each host
+  /// has too few alone.
+  void holdByFleet(const ConfigView &View);
   void stepRollouts(const ConfigView &View);
   void append(const Edit &Which);
   int64_t ratedOf(const Table &Rows, const VersionKey &Key) const;
--- a/src/router/service_call.cpp
+++ b/src/router/service_call.cpp
@@ -10,7 +10,6 @@
 
 #include "berylramp/json.h"
 
-#include "absl/random/random.h"
 #include "absl/strings/str_cat.h"
 #include <algorithm>
 
@@ -23,11 +22,6 @@
 constexpr absl::Duration RetrySoon = absl::Milliseconds(300);
 constexpr absl::Duration RetryLater = absl::Seconds(2);
 
-uint64_t randomDraw() {
-  static thread_local absl::BitGen Bits;
-  return absl::Uniform<uint64_t>(Bits);
-}
-
 ServiceAnswer refuse(Refusal Why) {
   ServiceAnswer Out;
   Out.Refused = std::move(Why);
--- a/src/tools/entryd/main.cpp
+++ b/src/tools/entryd/main.cpp
@@ -12,6 +12,7 @@
 #include "berylramp/router.h"
 #include "berylramp/rpc.h"
 #include "berylramp/settings.h"
+#include "cli.h"
 
 #include <csignal>
 #include <iostream>
@@ -21,7 +22,6 @@
 
 using namespace berylramp;
 
-constexpr int ExitSettings = 2;
 constexpr int ExitListen = 3;
 constexpr absl::Duration DrainStep = absl::Milliseconds(50);
 
@@ -117,27 +117,14 @@
   return 0;
 }
 
-} // namespace
-
-int main(int Argc, char **Argv) {
-  Options Chosen;
-  try {
-    Chosen = readOptions(Argc, Argv);
-  } catch (const TCLAP::ArgException &Fault) {
-    std::cerr << Fault.error() << " " << Fault.argId() << "; see --help\n";
-    return ExitSettings;
-  } catch (const TCLAP::ExitException &Done) {
-    return Done.getExitStatus();
-  }
+int runDaemon(int Argc, char **Argv) {
+  Options Chosen = readOptions(Argc, Argv);
   absl::StatusOr<std::string> Text = readFile(Chosen.SettingsPath);
-  if (!Text.ok()) {
-    std::cerr << Text.status().message() << "\n";
-    return ExitSettings;
-  }
-  absl::StatusOr<EntrySettings> Settings = readEntrySettings(*Text);
+  absl::StatusOr<EntrySettings> Settings =
+      Text.ok() ? readEntrySettings(*Text) : Text.status();
   if (!Settings.ok()) {
     std::cerr << Settings.status().message() << "\n";
-    return ExitSettings;
+    return cli::ExitUsage;
   }
   if (Chosen.PrintSettings)
     std::cout << printEntrySettings(*Settings) << "\n";
@@ -145,3 +132,9 @@
     return 0;
   return serve(*Settings);
 }
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return cli::runTool([&] { return runDaemon(Argc, Argv); });
+}
--- a/src/tools/inspect/main.cpp
+++ b/src/tools/inspect/main.cpp
@@ -10,11 +10,11 @@
 #include "berylramp/json.h"
 #include "berylramp/settings.h"
 #include "berylramp/table.h"
+#include "cli.h"
 #include "render.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -24,9 +24,8 @@
 using namespace berylramp::inspect;
 
 constexpr int ExitBroken = 1;
-constexpr int ExitUsage = 2;
+using cli::ExitUsage;
 constexpr int ExitUnavailable = 3;
-constexpr int StatusOk = 200;
 
 struct Options {
   std::string What;
@@ -78,22 +77,9 @@
 absl::StatusOr<Json::Value> ask(const Options &Given, const std::string &Path) {
   if (!Given.HasEntry)
     return absl::InvalidArgumentError("give --entry IP:PORT");
-  const char *Key = std::getenv("BERYLRAMP_ADMIN_KEY");
-  HttpCall Call;
-  Call.Path = Path;
-  Call.Headers.push_back(HeaderLine{
-      "Authorization", absl::StrCat("Bearer ", Key == nullptr ? "" : Key)});
   HttpClientPool Pool;
-  HttpOutcome Out = Pool.call(Given.Entry, Call);
-  if (Out.Fault != HttpFault::None)
-    return absl::UnavailableError(Given.Entry.text() + " does not answer");
-  absl::StatusOr<Json::Value> Body = parseJson(Out.Body);
-  if (Out.Status == StatusOk)
-    return Body;
-  std::string Remedy =
-      Body.ok() ? textAt(memberAt(*Body, "error"), "remedy") : Out.Body;
-  return absl::NotFoundError(
-      absl::StrCat("answered ", Out.Status, ": ", Remedy));
+  return cli::askEntry(Pool, Given.Entry, Path,
+                       cli::secretFrom("BERYLRAMP_ADMIN_KEY"));
 }
 
 Rows rowsFromAnswer(const Json::Value &Body) {
@@ -160,23 +146,6 @@
   return 0;
 }
 
-absl::StatusOr<BillState> readBills(const Options &Given) {
-  if (!Given.HasLog)
-    return absl::InvalidArgumentError("give --log IP:PORT");
-  LogPort Log = makeHttpLog(std::make_shared<HttpClientPool>(), Given.Log);
-  BillState Out;
-  while (true) {
-    absl::StatusOr<LogPage> Page =
-        Log.Read(BillStream, Out.Applied + Offset(1), absl::ZeroDuration());
-    if (!Page.ok())
-      return Page.status();
-    for (const LogRecord &Record : Page->Records)
-      foldBills(Out, Record.At, Record.Data);
-    if (Out.Applied + Offset(1) >= Page->Tail || Page->Records.empty())
-      return Out;
-  }
-}
-
 void showBillsByWorkspace(const BillState &Bills, Format How) {
   struct Sum {
     int64_t Count = 0;
@@ -197,7 +166,12 @@
 }
 
 int showBills(const Options &Given) {
-  absl::StatusOr<BillState> Bills = readBills(Given);
+  if (!Given.HasLog) {
+    std::cerr << "give --log IP:PORT\n";
+    return ExitUsage;
+  }
+  absl::StatusOr<BillState> Bills = cli::readBills(
+      makeHttpLog(std::make_shared<HttpClientPool>(), Given.Log));
   if (!Bills.ok()) {
     std::cerr << Bills.status().message() << "\n";
     return ExitUnavailable;
@@ -245,12 +219,5 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  try {
-    return show(readOptions(Argc, Argv));
-  } catch (const TCLAP::ArgException &Fault) {
-    std::cerr << Fault.error() << " " << Fault.argId() << "; see --help\n";
-    return ExitUsage;
-  } catch (const TCLAP::ExitException &Done) {
-    return Done.getExitStatus();
-  }
+  return cli::runTool([&] { return show(readOptions(Argc, Argv)); });
 }
--- a/src/tools/load/experiment.cpp
+++ b/src/tools/load/experiment.cpp
@@ -10,6 +10,7 @@
 #include "berylramp/json.h"
 #include "berylramp/policy.h"
 #include "berylramp/settings.h"
+#include "cli.h"
 #include "local_entry.h"
 #include "platform.h"
 
@@ -257,7 +258,7 @@
   absl::SleepFor(SettleTime);
   Driver(WarmUp).run(nullptr, "");
   std::vector<Sample> Samples = Driver(Load).run(nullptr, "");
-  absl::StatusOr<BillState> Bills = readBills(Log);
+  absl::StatusOr<BillState> Bills = cli::readBills(Log);
   Table Rows = tableOf(Given);
   PolicyResult Out;
   Out.Name = textAt(Policy, "name");
--- a/src/tools/load/main.cpp
+++ b/src/tools/load/main.cpp
@@ -8,6 +8,7 @@
 #include "berylramp/json.h"
 #include "berylramp/observe.h"
 #include "berylramp/settings.h"
+#include "cli.h"
 #include "experiment.h"
 #include "report.h"
 
@@ -21,8 +22,7 @@
 using namespace berylramp::load;
 
 constexpr int ExitBroken = 1;
-constexpr int ExitUsage = 2;
-constexpr int StatusOk = 200;
+using cli::ExitUsage;
 
 struct Options {
   std::string WorkloadPath;
@@ -67,23 +67,11 @@
                  Forbid.getValue()};
 }
 
-absl::StatusOr<Json::Value> getJson(HttpClientPool &Pool, const Endpoint &To,
-                                    const std::string &Path,
-                                    const std::string &Key) {
-  HttpCall Call;
-  Call.Path = Path;
-  Call.Headers.push_back(HeaderLine{"Authorization", "Bearer " + Key});
-  HttpOutcome Out = Pool.call(To, Call);
-  if (Out.Fault != HttpFault::None || Out.Status != StatusOk)
-    return absl::UnavailableError(To.text() + Path + " did not answer");
-  return parseJson(Out.Body);
-}
-
 /// The operators' table, as an entry host has it.
 Table fetchTable(HttpClientPool &Pool, const Workload &Given) {
   for (const Endpoint &Entry : Given.Entries) {
     absl::StatusOr<Json::Value> Body =
-        getJson(Pool, Entry, "/v1/admin/table", Given.AdminKey);
+        cli::askEntry(Pool, Entry, "/v1/admin/table", Given.AdminKey);
     if (!Body.ok())
       continue;
     Rows All;
@@ -100,7 +88,8 @@
 }
 
 int64_t countDoubledOrders(HttpClientPool &Pool, const Workload &Given) {
-  absl::StatusOr<Json::Value> Body = getJson(Pool, Given.Log, "/runs", "");
+  absl::StatusOr<Json::Value> Body =
+      cli::askEntry(Pool, Given.Log, "/runs", "");
   if (!Body.ok())
     return 0;
   int64_t Out = 0;
@@ -145,7 +134,8 @@
     std::cout << "direct to the engine\n" << reportToText(Direct) << "\n";
   }
   std::vector<Sample> Samples = Driver(Given).run(nullptr, "");
-  absl::StatusOr<BillState> Bills = readBills(makeHttpLog(Pool, Given.Log));
+  absl::StatusOr<BillState> Bills =
+      cli::readBills(makeHttpLog(Pool, Given.Log));
   if (!Bills.ok())
     std::cerr << Bills.status().message() << "\n";
   RunReport Routed =
@@ -160,18 +150,8 @@
   return Broken > 0 ? ExitBroken : 0;
 }
 
-} // namespace
-
-int main(int Argc, char **Argv) {
-  Options Chosen;
-  try {
-    Chosen = readOptions(Argc, Argv);
-  } catch (const TCLAP::ArgException &Fault) {
-    std::cerr << Fault.error() << " " << Fault.argId() << "; see --help\n";
-    return ExitUsage;
-  } catch (const TCLAP::ExitException &Done) {
-    return Done.getExitStatus();
-  }
+int runTool(int Argc, char **Argv) {
+  Options Chosen = readOptions(Argc, Argv);
   if (!Chosen.ExperimentPath.empty()) {
     startLogging(HostId("experiment"), PlaceId("local"), /*Verbose=*/false);
     absl::Status Ran =
@@ -189,3 +169,9 @@
   }
   return runLoad(Chosen, *Given);
 }
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return cli::runTool([&] { return runTool(Argc, Argv); });
+}
--- a/src/tools/load/report.cpp
+++ b/src/tools/load/report.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr absl::Duration BillSettle = absl::Milliseconds(100);
-
 double quantile(const std::vector<absl::Duration> &Sorted, double Q) {
   if (Sorted.empty())
     return 0;
@@ -60,20 +58,6 @@
                      quantile(Values, 0.99)};
 }
 
-absl::StatusOr<BillState> readBills(const LogPort &Log) {
-  BillState Out;
-  while (true) {
-    absl::StatusOr<LogPage> Page =
-        Log.Read(BillStream, Out.Applied + Offset(1), BillSettle);
-    if (!Page.ok())
-      return Page.status();
-    for (const LogRecord &Record : Page->Records)
-      foldBills(Out, Record.At, Record.Data);
-    if (Out.Applied + Offset(1) >= Page->Tail)
-      return Out;
-  }
-}
-
 RunReport summarize(const std::vector<Sample> &Samples, const Table &Prices,
                     const BillState &Bills) {
   RunReport Out;
--- a/src/tools/load/report.h
+++ b/src/tools/load/report.h
@@ -49,9 +49,6 @@
   int64_t DoubledOrders = 0;
 };
 
-/// Reads the bill stream from its first kept record to its tail.
-absl::StatusOr<BillState> readBills(const LogPort &Log);
-
 RunReport summarize(const std::vector<Sample> &Samples, const Table &Prices,
                     const BillState &Bills);
 
--- a/src/tools/publish/main.cpp
+++ b/src/tools/publish/main.cpp
@@ -10,10 +10,10 @@
 #include "berylramp/json.h"
 #include "berylramp/settings.h"
 #include "berylramp/table.h"
+#include "cli.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -22,11 +22,10 @@
 using namespace berylramp;
 
 constexpr int ExitInForce = 0;
-constexpr int ExitUsage = 2;
+using cli::ExitUsage;
 constexpr int ExitPending = 3;
 constexpr int ExitRejected = 4;
 constexpr int ExitUnknown = 5;
-constexpr int StatusOk = 200;
 constexpr int AppendTries = 5;
 constexpr absl::Duration AskEvery = absl::Milliseconds(100);
 constexpr absl::Duration PauseAfterFailure = absl::Milliseconds(300);
@@ -44,11 +43,6 @@
 /// Stands for "use the table as it is now" on the command line.
 constexpr int64_t BaseNow = -2;
 
-std::string secretFrom(const char *Name) {
-  const char *Value = std::getenv(Name);
-  return Value == nullptr ? "" : Value;
-}
-
 absl::StatusOr<CellChange> changeFromText(const std::string &Text) {
   size_t Equals = Text.find('=');
   size_t Dot =
@@ -123,8 +117,8 @@
       return absl::InvalidArgumentError("--entry needs IP:PORT");
     Out.Entries.push_back(Address);
   }
-  Out.Keys.Secrets = {secretFrom("BERYLRAMP_OPERATOR_KEY")};
-  Out.AdminKey = secretFrom("BERYLRAMP_ADMIN_KEY");
+  Out.Keys.Secrets = {cli::secretFrom("BERYLRAMP_OPERATOR_KEY")};
+  Out.AdminKey = cli::secretFrom("BERYLRAMP_ADMIN_KEY");
   if (Out.Keys.Secrets.front().empty() || Out.AdminKey.empty())
     return absl::InvalidArgumentError(
         "set BERYLRAMP_OPERATOR_KEY and BERYLRAMP_ADMIN_KEY");
@@ -144,17 +138,15 @@
 absl::StatusOr<Json::Value> askEntries(HttpClientPool &Pool,
                                        const Options &Given,
                                        const std::string &Path) {
+  absl::Status Last;
   for (const Endpoint &Entry : Given.Entries) {
-    HttpCall Call;
-    Call.Path = Path;
-    Call.Headers.push_back(
-        HeaderLine{"Authorization", "Bearer " + Given.AdminKey});
-    HttpOutcome Out = Pool.call(Entry, Call);
-    if (Out.Fault == HttpFault::None && Out.Status == StatusOk)
-      return parseJson(Out.Body);
+    absl::StatusOr<Json::Value> Answer =
+        cli::askEntry(Pool, Entry, Path, Given.AdminKey);
+    if (Answer.ok())
+      return Answer;
+    Last = Answer.status();
   }
-  return absl::UnavailableError("no entry host answered; check --entry and "
-                                "BERYLRAMP_ADMIN_KEY");
+  return Last;
 }
 
 int report(const Options &Given, const std::string &Standing,
@@ -226,21 +218,18 @@
   return follow(*Pool, Given);
 }
 
-} // namespace
-
-int main(int Argc, char **Argv) {
+int runTool(int Argc, char **Argv) {
   Options Given;
-  try {
-    absl::Status Read = readOptions(Argc, Argv, Given);
-    if (!Read.ok()) {
-      std::cerr << Read.message() << "\n";
-      return ExitUsage;
-    }
-  } catch (const TCLAP::ArgException &Fault) {
-    std::cerr << Fault.error() << " " << Fault.argId() << "; see --help\n";
+  absl::Status Read = readOptions(Argc, Argv, Given);
+  if (!Read.ok()) {
+    std::cerr << Read.message() << "\n";
     return ExitUsage;
-  } catch (const TCLAP::ExitException &Done) {
-    return Done.getExitStatus();
   }
   return publish(Given);
 }
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return cli::runTool([&] { return runTool(Argc, Argv); });
+}
--- a/src/units/units.cpp
+++ b/src/units/units.cpp
@@ -48,10 +48,9 @@
 }
 
 std::string makeUuidV7(int64_t UnixMillis) {
-  static thread_local absl::BitGen Bits;
   uint64_t Time = static_cast<uint64_t>(UnixMillis) & 0xffffffffffffULL;
-  uint64_t High = absl::Uniform<uint64_t>(Bits);
-  uint64_t Low = absl::Uniform<uint64_t>(Bits);
+  uint64_t High = randomDraw();
+  uint64_t Low = randomDraw();
   return absl::StrFormat(
       "%08x-%04x-7%03x-%04x-%012x", Time >> 16, Time & 0xffff, High & 0xfff,
       0x8000 | (Low >> 48 & 0x3fff), Low & 0xffffffffffffULL);
@@ -67,6 +66,11 @@
   return static_cast<int64_t>(Millis);
 }
 
+uint64_t randomDraw() {
+  static thread_local absl::BitGen Bits;
+  return absl::Uniform<uint64_t>(Bits);
+}
+
 uint64_t stableHash(const std::string &Text) {
   return XXH3_64bits(Text.data(), Text.size());
 }
--- a/test/policy_test.cpp
+++ b/test/policy_test.cpp
@@ -334,6 +334,15 @@
   CHECK(MostRatings * 0.4 <= 60);
 }
 
+// Verifies that the fleet's ratings together condemn a bad candidate with few
+// ratings on each host, and no good one.
+TEST_CASE("Fleet evidence condemns bad candidates and no good ones") {
+  CHECK(evidenceOf(12, 20, 0.95) >= TripEvidence);
+  CHECK(evidenceOf(97, 100, 0.95) < 0);
+  CHECK(evidenceOf(388, 400, 0.95) < 0);
+  CHECK(evidenceOf(0, 0, 0.95) == 0);
+}
+
 // Verifies that steps and holds carry ids that every host derives alike.
 TEST_CASE("Roll-out edits have derived ids") {
   RolloutRow Row;
