--- a/src/router/admin_api.cpp
+++ b/src/router/admin_api.cpp
@@ -184,7 +184,9 @@
   Instant Now = this->Parts.Context.Timer.now();
   Json::Value Out;
   Out["replicas"] = Json::Value(Json::arrayValue);
-  for (const auto &[Key, Replicas] : this->Parts.Board.index()->ByVersion) {
+  // Held for the loop: the board may make a new index meanwhile.
+  std::shared_ptr<const ReplicaIndex> Index = this->Parts.Board.index();
+  for (const auto &[Key, Replicas] : Index->ByVersion) {
     for (const std::shared_ptr<Replica> &Each : Replicas) {
       ReplicaView View = Each->view(Now);
       Json::Value Item;
--- a/src/router/bill_desk.cpp
+++ b/src/router/bill_desk.cpp
@@ -20,6 +20,8 @@
 constexpr absl::Duration IdleWait = absl::Milliseconds(200);
 /// How long the log may take before holders are asked as well.
 constexpr absl::Duration HolderGrace = absl::Milliseconds(10);
+/// How long holders' messages may gather bills.
+constexpr absl::Duration LongestGroup = absl::Milliseconds(20);
 constexpr absl::Duration TendEvery = absl::Seconds(1);
 constexpr size_t MaxBillsInRecord = 500;
 
@@ -149,7 +151,9 @@
   while (!this->HolderThread.stopped()) {
     if (!this->waitForWork())
       continue;
-    this->HolderThread.pause(this->Context.Settings.BillEvery + HolderGrace);
+    // Callers wait for this, so it does not grow with a long bill_ms.
+    this->HolderThread.pause(
+        std::min(this->Context.Settings.BillEvery, LongestGroup) + HolderGrace);
     std::vector<Waiting> Unsafe = this->unsafeBills();
     if (!Unsafe.empty())
       this->sendToHolders(Unsafe);
--- a/src/router/config_follower.cpp
+++ b/src/router/config_follower.cpp
@@ -218,8 +218,9 @@
 absl::Duration ConfigFollower::snapshotDueAfter() const {
   absl::Duration Step =
       this->Context.Settings.LogRetention / SnapshotsInRetention;
-  uint64_t Draw = stableHash(this->Context.Settings.Host.text() +
-                             absl::FormatTime(this->LastSnapshotAt));
+  uint64_t Draw =
+      stableHash(this->Context.Settings.Host.text() +
+                 std::to_string(absl::ToUnixMillis(this->LastSnapshotAt)));
   // Hosts wait unlike long, so that one publishes and the others see it.
   return Step + Step * static_cast<int64_t>(Draw % JitterSteps) / JitterSteps;
 }
