Drop a move that has no effect

Cause: options became trivially copyable when they began to point into the table, and the linter rejects a move of one.

Change: copy it.

--- a/src/router/generation_plan.cpp
+++ b/src/router/generation_plan.cpp
@@ -169,7 +169,7 @@
     bool CanRun = Found != Index->ByVersion.end() &&
                   Option.Wait < absl::InfiniteDuration();
     if (CanRun)
-      Out.push_back(std::move(Option));
+      Out.push_back(Option);
     else
       absl::StrAppend(&Left, Left.empty() ? "" : ", ", Choice.Row->Key.text(),
                       " no_replica");
