Keep a limit while a demand is new to the whole fleet

Cause: a host that had heard of no other host's demand took the whole limit; at a cold start all eight did, for as long as gossip needed.

Change: while both its own demand and the others' are younger than 4 s, a host takes at most an even part. A demand that moves is not new and follows at once. Fleets of up to 16 hosts exchange twice a second.

--- a/include/berylramp/fleet.h
+++ b/include/berylramp/fleet.h
@@ -251,6 +251,8 @@
   size_t Hosts = 1;
   /// False when no other host was heard lately.
   bool IsHeard = false;
+  /// Since when this host has heard of such a demand without a break.
+  Instant Since;
 };
 
 /// What all members together say, summed up once for many requests.
@@ -268,13 +270,15 @@
   std::vector<RatingTally> RunRatings;
   std::vector<VersionTrip> Trips;
   std::map<WorkspaceId, double> DemandOfOthers;
+  std::map<WorkspaceId, Instant> DemandSince;
   size_t LiveHosts = 1;
   /// Hosts that share limits, and whether any other was heard.
   size_t SharingHosts = 1;
   bool IsHeard = false;
 };
+/// \p Before is the last summary: it tells since when demand was heard.
 FleetSummary summarizeFleet(const FleetView &View, const FleetTimes &Times,
-                            Instant Now);
+                            const FleetSummary &Before, Instant Now);
 
 OthersDemand othersDemand(const FleetSummary &Summary,
                           const WorkspaceId &Workspace);
@@ -290,6 +294,15 @@
 /// follows the demand; with nobody heard it is one over the number of hosts.
 double limitShare(double Mine, const OthersDemand &Others);
 
+/// How long hosts take to hear of each other's demand.
+inline constexpr absl::Duration DemandSettles = absl::Seconds(4);
+
+/// Like limitShare(), but at most an even part while the workspace's demand is
+/// new to the whole fleet: all hosts may see it rise at once, unheard.
+/// \p MineSince is when this host's own demand began.
+double settledLimitShare(double Mine, Instant MineSince,
+                         const OthersDemand &Others, Instant Now);
+
 } // namespace berylramp
 
 #endif // BERYLRAMP_FLEET_H
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -241,7 +241,7 @@
 } // namespace
 
 FleetSummary summarizeFleet(const FleetView &View, const FleetTimes &Times,
-                            Instant Now) {
+                            const FleetSummary &Before, Instant Now) {
   FleetSummary Out;
   Out.LiveHosts = liveMembers(View, Times, Now).size();
   size_t Known = 0;
@@ -269,6 +269,11 @@
     for (const WorkspaceDemand &Demand : Detail.Demand)
       Out.DemandOfOthers[Demand.Workspace] += Demand.RequestsPerSecond;
   }
+  for (const auto &[Workspace, Demand] : Out.DemandOfOthers) {
+    auto Known = Before.DemandSince.find(Workspace);
+    bool IsNew = Known == Before.DemandSince.end();
+    Out.DemandSince[Workspace] = IsNew ? Now : Known->second;
+  }
   Out.IsHeard = Heard > 0;
   // Hosts that are not heard may still serve: they keep their part.
   Out.SharingHosts = 1 + (Out.IsHeard ? Heard : Known);
@@ -277,9 +282,13 @@
 
 OthersDemand othersDemand(const FleetSummary &Summary,
                           const WorkspaceId &Workspace) {
+  OthersDemand Out{0, Summary.SharingHosts, Summary.IsHeard, Instant{}};
   auto Found = Summary.DemandOfOthers.find(Workspace);
-  return OthersDemand{Found == Summary.DemandOfOthers.end() ? 0 : Found->second,
-                      Summary.SharingHosts, Summary.IsHeard};
+  if (Found == Summary.DemandOfOthers.end())
+    return Out;
+  Out.RequestsPerSecond = Found->second;
+  Out.Since = Summary.DemandSince.at(Workspace);
+  return Out;
 }
 
 RatingTally ratingsOf(const FleetSummary &Summary, const RequestKindId &Kind,
@@ -290,6 +299,17 @@
   return Found->second;
 }
 
+double settledLimitShare(double Mine, Instant MineSince,
+                         const OthersDemand &Others, Instant Now) {
+  double Share = limitShare(Mine, Others);
+  bool MineIsNew = Now - MineSince < DemandSettles;
+  bool OthersAreNew =
+      Others.RequestsPerSecond <= 0 || Now - Others.Since < DemandSettles;
+  if (!MineIsNew || !OthersAreNew)
+    return Share;
+  return std::min(Share, 1.0 / static_cast<double>(Others.Hosts));
+}
+
 double limitShare(double Mine, const OthersDemand &Others) {
   double Even = 1.0 / static_cast<double>(Others.Hosts);
   if (!Others.IsHeard)
--- a/src/router/fleet_link.cpp
+++ b/src/router/fleet_link.cpp
@@ -17,6 +17,8 @@
 
 /// One exchange in this many goes to another place.
 constexpr int64_t AcrossEvery = 3;
+constexpr size_t SmallFleet = 16;
+constexpr int ExchangesInSmallFleet = 2;
 /// Hosts not heard lately are tried at one exchange in this many only.
 constexpr int64_t SilentEvery = 4;
 /// Hosts asked directly about one edit, at most.
@@ -71,8 +73,9 @@
 }
 
 void FleetLink::renewSummary() {
-  this->Summary = std::make_shared<const FleetSummary>(summarizeFleet(
-      this->View, this->Context.Settings.Times, this->Context.Timer.now()));
+  this->Summary = std::make_shared<const FleetSummary>(
+      summarizeFleet(this->View, this->Context.Settings.Times, *this->Summary,
+                     this->Context.Timer.now()));
 }
 
 size_t FleetLink::drawTurn() { return absl::Uniform<uint32_t>(this->Draws); }
@@ -103,9 +106,14 @@
     this->View.KnownFloor = countKnown(this->View);
   }
   ++this->Ticks;
-  PeerAddress Peer;
-  if (this->pickPeer(this->Ticks % AcrossEvery == 0, Peer))
-    this->exchangeWith(Peer);
+  // A small fleet can afford to hear of itself sooner.
+  int Exchanges =
+      this->summary()->SharingHosts <= SmallFleet ? ExchangesInSmallFleet : 1;
+  for (int I = 0; I < Exchanges; ++I) {
+    PeerAddress Peer;
+    if (this->pickPeer((this->Ticks + I) % AcrossEvery == 0, Peer))
+      this->exchangeWith(Peer);
+  }
 }
 
 std::vector<PeerAddress> FleetLink::candidates() const {
--- a/src/router/limit_desk.cpp
+++ b/src/router/limit_desk.cpp
@@ -43,8 +43,11 @@
   Shard &Home = this->Shards[stableHash(Row.Workspace.text()) % ShardCount];
   MutexLock Hold(&Home.Lock);
   Entry &Mine = Home.Entries[Row.Workspace];
+  if (Mine.Demand.at(Now) < NegligibleRate)
+    Mine.Since = Now;
   Mine.Demand.add(1, Now);
-  double Share = limitShare(Mine.Demand.at(Now), Others);
+  double Share =
+      settledLimitShare(Mine.Demand.at(Now), Mine.Since, Others, Now);
   return takeFromLimit(Mine.Bucket, Row, Share, Wanted, Now);
 }
 
--- a/src/router/limit_desk.h
+++ b/src/router/limit_desk.h
@@ -39,6 +39,8 @@
   struct Entry {
     LimitBucket Bucket;
     Meter Demand;
+    /// When the demand began that has not ceased since.
+    Instant Since;
   };
   static constexpr size_t ShardCount = 16;
   struct Shard {
--- a/src/tools/load/driver.cpp
+++ b/src/tools/load/driver.cpp
@@ -318,6 +318,12 @@
 }
 
 void Driver::refreshAddresses() {
+  if (this->Given.IsPinned) {
+    MutexLock Hold(&this->Lock);
+    this->Addresses = this->Given.Entries;
+    this->AddressesUntil = absl::Now() + DefaultTtl;
+    return;
+  }
   std::vector<Endpoint> Known = this->Given.Entries;
   {
     MutexLock Hold(&this->Lock);
--- a/src/tools/load/workload.cpp
+++ b/src/tools/load/workload.cpp
@@ -88,6 +88,7 @@
     return In.status();
   Workload Out;
   readLists(*In, Out);
+  Out.IsPinned = boolAt(*In, "pinned");
   Out.Place = textAt(*In, "place");
   Out.AdminKey = textAt(*In, "admin_key");
   parseEndpoint(textAt(*In, "log"), Out.Log);
--- a/src/tools/load/workload.h
+++ b/src/tools/load/workload.h
@@ -43,6 +43,8 @@
 
 struct Workload {
   std::vector<Endpoint> Entries;
+  /// Set to use just these entries, as a crowd of callers in one spot does.
+  bool IsPinned = false;
   std::string Place;
   std::string AdminKey;
   Endpoint Log;
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -265,12 +265,24 @@
     }
     double Sum = 0;
     for (double Mine : Demand)
-      Sum += limitShare(Mine, OthersDemand{All - Mine, Hosts, true});
+      Sum += limitShare(Mine, OthersDemand{All - Mine, Hosts, true, {}});
     RC_ASSERT(Sum <= 1 + LimitSlack + 1e-9);
     RC_ASSERT(All == 0 || Sum >= 1 - 1e-9);
   });
 }
 
+// Verifies that a demand which rises on all hosts at once gets even parts until
+// it was heard of, and that one which moves follows at once.
+TEST_CASE("Limit shares are even while a demand is new to the fleet") {
+  OthersDemand Unheard{0, 8, true, at(0)};
+  CHECK(settledLimitShare(50, at(10), Unheard, at(11)) == 1.0 / 8);
+  OthersDemand Partly{50, 8, true, at(10.5)};
+  CHECK(settledLimitShare(50, at(10), Partly, at(11)) == 1.0 / 8);
+  CHECK(settledLimitShare(50, at(10), Unheard, at(20)) == 1.0);
+  OthersDemand Moving{50, 8, true, at(0)};
+  CHECK(settledLimitShare(150, at(10), Moving, at(11)) == 0.75);
+}
+
 // Verifies that addresses put the caller's place first and leave out hosts
 // that leave or are silent.
 TEST_CASE("Entry addresses leave out leaving and silent hosts") {
