--- a/include/berylramp/http.h
+++ b/include/berylramp/http.h
@@ -69,6 +69,8 @@
 
   /// Routes a method and an exact path, or all below a path ending in '/'.
   void route(std::string Method, std::string Path, HttpHandler Handler);
+  /// What to answer a body longer than the limit; the status is 413.
+  void setTooLongAnswer(std::function<std::string()> Answer);
   /// Takes the address; port 0 takes a free one. Returns the bound address.
   absl::StatusOr<Endpoint> bind(const Endpoint &Listen);
   /// Serves what was bound, on threads of its own.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -19,6 +19,7 @@
 
 namespace {
 
+constexpr int StatusTooLong = 413;
 constexpr int ListenBacklog = 1024;
 constexpr size_t MaxRequestsOnConnection = 1000000;
 
@@ -154,6 +155,15 @@
 
 HttpServer::~HttpServer() { this->stop(); }
 
+void HttpServer::setTooLongAnswer(std::function<std::string()> Answer) {
+  this->Inner->Server.set_error_handler(
+      [Answer = std::move(Answer)](const httplib::Request &,
+                                   httplib::Response &Response) {
+        if (Response.status == StatusTooLong)
+          Response.set_content(Answer(), "application/json");
+      });
+}
+
 void HttpServer::route(std::string Method, std::string Path,
                        HttpHandler Handler) {
   this->Inner->Routes.push_back(
--- a/src/router/caller_api.cpp
+++ b/src/router/caller_api.cpp
@@ -115,6 +115,11 @@
 CallerApi::CallerApi(RouterParts &Parts) : Parts(Parts) {}
 
 void CallerApi::addRoutes(HttpServer &Server) {
+  Server.setTooLongAnswer([this] {
+    this->Parts.Context.Counts.countRefusal(RefusalKind::BodyTooLong);
+    return writeJson(refusalToJson(
+        notRun(RefusalKind::BodyTooLong, "the body is over the limit"), ""));
+  });
   Server.route("POST", "/v1/chat/completions",
                [this](const HttpRequest &Request, HttpReply &Reply) {
                  this->chat(Request, Reply);
--- a/test/router_config_test.cpp
+++ b/test/router_config_test.cpp
@@ -190,7 +190,10 @@
     absl::StatusOr<Json::Value> Body = parseJson(Each.Answer.Body);
     CHECK_FALSE(textAt(memberAt(*Body, "error"), "remedy").empty());
   }
-  CHECK(Post(std::string(3 << 20, 'x'), CallerKey, "note").Status == 413);
+  HttpOutcome TooLong = Post(std::string(3 << 20, 'x'), CallerKey, "note");
+  CHECK(TooLong.Status == 413);
+  CHECK(errorType(TooLong) == "body_too_long");
+  CHECK(errorRan(TooLong) == "no");
   CHECK(Fleet.chat(0, "note").Status == 200);
 }
 
