Take no evidence of freshness from messages that may have waited

Cause: exchange requests that waited in the sockets of a paused host were merged as if just written. When it woke, it took a majority for heard under its old table and went on; the soak saw 2 answers begun on a withdrawn version.

Ruled out: threads caught between check and send (a window of some 0.15 ms at 12 requests/s cannot give two); the long poll (its confirmation counts from when it began); a peer's confirmation (taken from timed answers only).

Change: a member has a proven age beside its seeming one. Only answers whose round trip this host timed prove an age, and proofs travel as proofs; freshness counts proven ages, all hints go on with seeming ones.

Conclusion: the rule that governed confirmations has to govern ages as well.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -125,10 +125,11 @@
 size_t exchange(FleetView &From, FleetView &To, Instant Now, size_t Turn) {
   std::string Sent = writeJson(gossipToJson(openExchange(From, Now, Turn)));
   GossipMessage Opened = gossipFromJson(*parseJson(Sent));
-  mergeMessage(To, Opened, Now);
+  mergeMessage(To, Opened, Now, /*IsTimed=*/false);
   std::string Back =
       writeJson(gossipToJson(answerExchange(To, Opened, Now, Turn)));
-  mergeMessage(From, gossipFromJson(*parseJson(Back)), Now);
+  mergeMessage(From, gossipFromJson(*parseJson(Back)), Now,
+               /*IsTimed=*/true);
   return Sent.size() + Back.size();
 }
 
@@ -148,7 +149,7 @@
     View.Self = makeMember(I).Host;
     for (int J = 0; J < Hosts; ++J) {
       Member What = makeMember(J);
-      View.Members[What.Host] = KnownMember{What, Instant{}, false};
+      View.Members[What.Host] = KnownMember{What, Instant{}, false, Instant{}};
     }
   }
   GossipCost Out;
@@ -166,6 +167,7 @@
       ++Self.What.Heartbeat;
       Self.What.Detail.Version = Self.What.Heartbeat;
       Self.WrittenAt = Now;
+      Self.ProvenAt = Now;
     }
     for (size_t I = 0; I < Views.size(); ++I) {
       size_t Peer = Bits() % Views.size();
--- a/include/berylramp/fleet.h
+++ b/include/berylramp/fleet.h
@@ -96,10 +96,14 @@
 /// A member as this host knows it.
 struct KnownMember {
   Member What;
-  /// When the subject, as far as this host can show, last wrote the record.
+  /// When the subject seems to have written the record: a hint, since a
+  /// message may have waited unread while this host was paused.
   Instant WrittenAt;
   /// Set once the subject itself said that its life is over.
   bool Gone = false;
+  /// The subject wrote this record, or a later one, no earlier than this. Only
+  /// answers whose round trip was timed show it, by this host or by others.
+  Instant ProvenAt{-absl::InfiniteDuration()};
 };
 
 /// All members, this host included.
@@ -117,9 +121,15 @@
 inline constexpr size_t YoungestInMessage = 8;
 inline constexpr size_t MaxDetailBytes = 2400;
 
-/// Takes the core of a record, all but its detail, that is \p Age old.
-/// Returns true when it was newer than what the view had.
-bool mergeCore(FleetView &View, const Member &Heard, absl::Duration Age,
+/// How old a record is: as it seems, and as it was shown to be at most.
+struct RecordAge {
+  absl::Duration Seeming = absl::ZeroDuration();
+  absl::Duration Proven = absl::InfiniteDuration();
+};
+
+/// Takes the core of a record, all but its detail. Returns true when it was
+/// newer than what the view had.
+bool mergeCore(FleetView &View, const Member &Heard, RecordAge Age,
                Instant Now);
 /// Takes a detail of a life that the view knows.
 void mergeDetail(FleetView &View, const HostId &Host, Incarnation Life,
@@ -130,7 +140,7 @@
 struct GossipMessage {
   struct Core {
     Member What;
-    absl::Duration Age;
+    RecordAge Age;
     /// The version of the detail that the sender holds.
     int64_t HeldDetail = -1;
   };
@@ -151,8 +161,10 @@
 /// The message that answers \p Theirs.
 GossipMessage answerExchange(const FleetView &View, const GossipMessage &Theirs,
                              Instant Now, size_t Turn);
-/// Takes a message; ages count back from \p Now.
-void mergeMessage(FleetView &View, const GossipMessage &Heard, Instant Now);
+/// Takes a message; ages count back from \p Now. \p IsTimed is false for a
+/// message that may have waited: its ages then prove nothing.
+void mergeMessage(FleetView &View, const GossipMessage &Heard, Instant Now,
+                  bool IsTimed);
 
 Json::Value gossipToJson(const GossipMessage &Message);
 /// Reads a message; malformed records are left out.
--- a/src/fleet/freshness.cpp
+++ b/src/fleet/freshness.cpp
@@ -14,6 +14,9 @@
 // be in force before that host has stopped. Counting from when the silent host
 // was last heard would not do: it may have read the log since, unheard.
 //
+// Only proven ages count: a request may have waited in the sockets of a paused
+// host, and what it says would look new when the host wakes.
+//
 // What a group hears may be HeardWithin old, so a majority excuses a silent
 // host only once it has stood for that long.
 //
@@ -35,7 +38,7 @@
                  const KnownMember &Known, const FleetTimes &Times,
                  Instant Now) {
   return Host != View.Self && !Known.Gone &&
-         Now - Known.WrittenAt <= Times.HeardWithin;
+         Now - Known.ProvenAt <= Times.HeardWithin;
 }
 
 size_t countHeardPeers(const FleetView &View, const FleetTimes &Times,
--- a/src/fleet/member_codec.cpp
+++ b/src/fleet/member_codec.cpp
@@ -27,8 +27,10 @@
   FieldBillsLogged,
   FieldFlags,
   FieldHeldDetail,
+  FieldProvenAgeMillis,
   FieldCount
 };
+constexpr int64_t NotProven = -1;
 constexpr int64_t FlagLeaving = 1;
 constexpr int64_t FlagFinished = 2;
 
@@ -119,7 +121,11 @@
   Out[FieldHost] = What.Host.text();
   Out[FieldLife] = Json::Int64(What.Life.count());
   Out[FieldHeartbeat] = Json::Int64(What.Heartbeat);
-  Out[FieldAgeMillis] = Json::Int64(absl::ToInt64Milliseconds(Which.Age));
+  Out[FieldAgeMillis] =
+      Json::Int64(absl::ToInt64Milliseconds(Which.Age.Seeming));
+  bool IsProven = Which.Age.Proven < absl::Milliseconds(MaxAgeMillis);
+  Out[FieldProvenAgeMillis] = Json::Int64(
+      IsProven ? absl::ToInt64Milliseconds(Which.Age.Proven) + 1 : NotProven);
   Out[FieldApplied] = Json::Int64(What.Applied.count());
   Out[FieldStreams] = Json::Int64(What.Streams);
   Out[FieldBillsLogged] = Json::Int64(What.BillsLogged);
@@ -141,8 +147,11 @@
   What.Host = HostId(Item[FieldHost].asString());
   What.Life = Incarnation(Item[FieldLife].asInt64());
   What.Heartbeat = Item[FieldHeartbeat].asInt64();
-  Out.Age = absl::Milliseconds(
+  Out.Age.Seeming = absl::Milliseconds(
       std::clamp<int64_t>(Item[FieldAgeMillis].asInt64(), 0, MaxAgeMillis));
+  int64_t Proven = Item[FieldProvenAgeMillis].asInt64();
+  if (Proven >= 0)
+    Out.Age.Proven = absl::Milliseconds(Proven);
   What.Applied = Offset(Item[FieldApplied].asInt64());
   What.Streams = Item[FieldStreams].asInt64();
   What.BillsLogged = Item[FieldBillsLogged].asInt64();
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -28,7 +28,7 @@
   GossipMessage::Core Out;
   Out.What = Known.What;
   Out.What.Detail = MemberDetail{};
-  Out.Age = Now - Known.WrittenAt;
+  Out.Age = RecordAge{Now - Known.WrittenAt, Now - Known.ProvenAt};
   Out.HeldDetail = Known.What.Detail.Version;
   return Out;
 }
@@ -86,20 +86,28 @@
          A.Ratings == B.Ratings && A.Trips == B.Trips;
 }
 
-bool mergeCore(FleetView &View, const Member &Heard, absl::Duration Age,
+bool mergeCore(FleetView &View, const Member &Heard, RecordAge Age,
                Instant Now) {
   if (Heard.Host == View.Self)
     return false;
   auto [Found, IsNew] = View.Members.try_emplace(Heard.Host);
   KnownMember &Known = Found->second;
-  if (!IsNew && !isNewer(Heard, Known.What))
+  bool IsSameLife = !IsNew && Known.What.Life == Heard.Life;
+  bool IsOlder = !IsNew && isNewer(Known.What, Heard);
+  if (IsOlder)
+    return false;
+  Instant Proven = Now + -Age.Proven;
+  if (!IsSameLife || Known.ProvenAt < Proven)
+    Known.ProvenAt = Proven;
+  bool IsRepeat = IsSameLife && Known.What.Heartbeat == Heard.Heartbeat;
+  if (IsRepeat)
     return false;
   MemberDetail Kept;
-  if (!IsNew && Known.What.Life == Heard.Life)
+  if (IsSameLife)
     Kept = std::move(Known.What.Detail);
   Known.What = Heard;
   Known.What.Detail = std::move(Kept);
-  Known.WrittenAt = Now + -Age;
+  Known.WrittenAt = Now + -Age.Seeming;
   Known.Gone = Heard.Finished;
   return true;
 }
@@ -152,9 +160,14 @@
   return Out;
 }
 
-void mergeMessage(FleetView &View, const GossipMessage &Heard, Instant Now) {
-  for (const GossipMessage::Core &Each : Heard.Cores)
-    mergeCore(View, Each.What, Each.Age, Now);
+void mergeMessage(FleetView &View, const GossipMessage &Heard, Instant Now,
+                  bool IsTimed) {
+  for (const GossipMessage::Core &Each : Heard.Cores) {
+    RecordAge Age = Each.Age;
+    if (!IsTimed)
+      Age.Proven = absl::InfiniteDuration();
+    mergeCore(View, Each.What, Age, Now);
+  }
   for (const GossipMessage::Detail &Each : Heard.Details)
     mergeDetail(View, Each.Host, Each.Life, Each.What);
 }
--- a/src/router/fleet_link.cpp
+++ b/src/router/fleet_link.cpp
@@ -69,6 +69,7 @@
                             : Said.Heartbeat;
   What = std::move(Said);
   Self.WrittenAt = this->Context.Timer.now();
+  Self.ProvenAt = Self.WrittenAt;
   this->renewSummary();
 }
 
@@ -214,7 +215,7 @@
   GossipMessage Heard = gossipFromJson(memberAt(Params, "gossip"));
   {
     MutexLock Hold(&this->Lock);
-    mergeMessage(this->View, Heard, Now);
+    mergeMessage(this->View, Heard, Now, /*IsTimed=*/false);
     Answer["gossip"] =
         gossipToJson(answerExchange(this->View, Heard, Now, this->drawTurn()));
   }
@@ -228,8 +229,8 @@
   // records and confirmations older, never younger.
   {
     MutexLock Hold(&this->Lock);
-    mergeMessage(this->View, gossipFromJson(memberAt(Message, "gossip")),
-                 Began);
+    mergeMessage(this->View, gossipFromJson(memberAt(Message, "gossip")), Began,
+                 /*IsTimed=*/true);
     size_t Floor = static_cast<size_t>(std::clamp<int64_t>(
         intAt(Message, "floor"), 0, static_cast<int64_t>(1) << 20));
     this->View.KnownFloor = std::max(this->View.KnownFloor, Floor);
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -22,6 +22,11 @@
   return Out;
 }
 
+void hear(FleetView &View, const HostId &Host, Instant At) {
+  View.Members[Host].WrittenAt = At;
+  View.Members[Host].ProvenAt = At;
+}
+
 Instant at(double Seconds) { return Instant{absl::Seconds(Seconds)}; }
 
 FleetView viewOf(int Hosts, int64_t Applied, Instant WrittenAt) {
@@ -30,7 +35,7 @@
   for (int I = 0; I < Hosts; ++I) {
     std::string Name = "h" + std::to_string(I);
     View.Members[HostId(Name)] =
-        KnownMember{memberOf(Name, 1, Applied), WrittenAt, false};
+        KnownMember{memberOf(Name, 1, Applied), WrittenAt, false, WrittenAt};
   }
   return View;
 }
@@ -40,12 +45,12 @@
 TEST_CASE("Members merge by incarnation, then heartbeat") {
   FleetView View;
   View.Self = HostId("me");
-  CHECK(mergeCore(View, memberOf("a", 5), absl::Seconds(2), at(10)));
+  CHECK(mergeCore(View, memberOf("a", 5), RecordAge{absl::Seconds(2)}, at(10)));
   CHECK(View.Members[HostId("a")].WrittenAt.SinceStart == absl::Seconds(8));
-  CHECK_FALSE(mergeCore(View, memberOf("a", 4), absl::ZeroDuration(), at(11)));
+  CHECK_FALSE(mergeCore(View, memberOf("a", 4), RecordAge{}, at(11)));
   Member Replaced = memberOf("a", 1);
   Replaced.Life = Incarnation(2);
-  CHECK(mergeCore(View, Replaced, absl::ZeroDuration(), at(12)));
+  CHECK(mergeCore(View, Replaced, RecordAge{}, at(12)));
   CHECK(View.Members[HostId("a")].What.Life == Incarnation(2));
 }
 
@@ -53,7 +58,7 @@
 TEST_CASE("Members never take their own record from a peer") {
   FleetView View;
   View.Self = HostId("me");
-  CHECK_FALSE(mergeCore(View, memberOf("me", 99), absl::ZeroDuration(), at(1)));
+  CHECK_FALSE(mergeCore(View, memberOf("me", 99), RecordAge{}, at(1)));
 }
 
 // Verifies that a message's size does not grow with the fleet.
@@ -71,6 +76,27 @@
   CHECK(Bytes <= MaxDetailBytes);
 }
 
+// Verifies that requests which waited while a host was paused do not make it
+// take the fleet for heard under its old table.
+TEST_CASE("Freshness takes no evidence from messages that may have waited") {
+  FleetTimes Times;
+  FleetView Peer = viewOf(8, 0, at(10));
+  Peer.Self = HostId("h1");
+  GossipMessage Waited = openExchange(Peer, at(10), 0);
+  FleetView Paused = viewOf(8, 0, at(10));
+  for (auto &[Host, Known] : Peer.Members)
+    ++Known.What.Heartbeat;
+  GossipMessage Later = openExchange(Peer, at(11), 0);
+  ViewEvidence Evidence{at(10), true};
+  mergeMessage(Paused, Waited, at(200), /*IsTimed=*/false);
+  mergeMessage(Paused, Later, at(200), /*IsTimed=*/false);
+  CHECK(judgeFreshness(Evidence, Paused, Times, at(200)) ==
+        Freshness::Isolated);
+  mergeMessage(Paused, Later, at(200), /*IsTimed=*/true);
+  CHECK(judgeFreshness(Evidence, Paused, Times, at(201)) ==
+        Freshness::Detached);
+}
+
 // Verifies that a host that knows nobody learns the whole fleet, details too,
 // from bounded messages.
 TEST_CASE("A host that knows nobody learns the fleet") {
@@ -88,7 +114,7 @@
         gossipFromJson(gossipToJson(openExchange(New, at(Round), 0)));
     GossipMessage Back =
         answerExchange(Old, Sent, at(Round), static_cast<size_t>(Round) * 13);
-    mergeMessage(New, gossipFromJson(gossipToJson(Back)), at(Round));
+    mergeMessage(New, gossipFromJson(gossipToJson(Back)), at(Round), true);
   }
   CHECK(New.Members.size() == 61);
   for (const auto &[Host, Known] : New.Members)
@@ -99,12 +125,12 @@
 TEST_CASE("A new life begins without the old one's detail") {
   FleetView View;
   View.Self = HostId("me");
-  mergeCore(View, memberOf("a", 5), absl::ZeroDuration(), at(1));
+  mergeCore(View, memberOf("a", 5), RecordAge{}, at(1));
   mergeDetail(View, HostId("a"), Incarnation(1), memberOf("a", 5).Detail);
   CHECK(View.Members[HostId("a")].What.Detail.Version == 5);
   Member Replaced = memberOf("a", 1);
   Replaced.Life = Incarnation(2);
-  mergeCore(View, Replaced, absl::ZeroDuration(), at(2));
+  mergeCore(View, Replaced, RecordAge{}, at(2));
   CHECK(View.Members[HostId("a")].What.Detail.Version == -1);
   mergeDetail(View, HostId("a"), Incarnation(1), memberOf("a", 9).Detail);
   CHECK(View.Members[HostId("a")].What.Detail.Version == -1);
@@ -130,15 +156,15 @@
   FleetView Large = viewOf(8, 0, at(0));
   FleetView Small = viewOf(8, 0, at(0));
   for (int I = 0; I < 5; ++I)
-    Large.Members[HostId("h" + std::to_string(I))].WrittenAt = at(3600);
+    hear(Large, HostId("h" + std::to_string(I)), at(3600));
   for (int I = 0; I < 3; ++I)
-    Small.Members[HostId("h" + std::to_string(I))].WrittenAt = at(3600);
+    hear(Small, HostId("h" + std::to_string(I)), at(3600));
   CHECK(judgeFreshness(Evidence, Large, Times, at(3601)) ==
         Freshness::Detached);
   CHECK(judgeFreshness(Evidence, Small, Times, at(3601)) ==
         Freshness::Isolated);
   for (int I = 0; I < 3; ++I)
-    Small.Members[HostId("h" + std::to_string(I))].WrittenAt = at(30);
+    hear(Small, HostId("h" + std::to_string(I)), at(30));
   CHECK(judgeFreshness(Evidence, Small, Times, at(31)) == Freshness::Detached);
 }
 
@@ -195,7 +221,7 @@
   FleetView View = viewOf(5, 7, at(1000));
   View.Members[HostId("h3")].What.Applied = Offset(6);
   View.Members[HostId("h4")].What.Applied = Offset(6);
-  View.Members[HostId("h4")].WrittenAt = at(10);
+  hear(View, HostId("h4"), at(10));
   EditWatch Watch{Offset(7), at(100), false, {}};
   CHECK_FALSE(judgeAcknowledgement(View, Watch, Times, at(1000)).InForce);
   View.Members[HostId("h3")].What.Applied = Offset(7);
@@ -240,7 +266,7 @@
           Inside.Members[Host] = KnownMember{memberOf(Host.text(), 1, 0),
                                              at(LastHeard - Lag), false};
         } else {
-          Outside.Members[Host].WrittenAt = at(LastHeard - Lag);
+          hear(Outside, Host, at(LastHeard - Lag));
         }
       }
       Acknowledgement Said =
@@ -289,7 +315,7 @@
   FleetTimes Times;
   FleetView View = viewOf(4, 0, at(100));
   View.Members[HostId("h1")].What.Leaving = true;
-  View.Members[HostId("h2")].WrittenAt = at(10);
+  hear(View, HostId("h2"), at(10));
   View.Members[HostId("h3")].What.Detail.Place = PlaceId("near");
   std::vector<EntryAddress> Found =
       entryAddresses(View, PlaceId("near"), Times, at(101));
@@ -310,7 +336,7 @@
       gossipFromJson(gossipToJson(openExchange(View, at(6), 0)));
   REQUIRE(Read.Cores.size() == 3);
   CHECK(Read.Cores.front().What.Applied == Offset(9));
-  CHECK(Read.Cores.front().Age == absl::Seconds(1));
+  CHECK(Read.Cores.front().Age.Seeming == absl::Seconds(1));
   REQUIRE(Read.Details.size() == 1);
   CHECK(Read.Details.front().What.Demand.front().RequestsPerSecond == 2.5);
   CHECK(Read.Details.front().What.Trips.front().Run == "run");
@@ -319,12 +345,12 @@
     int Number = *rc::gen::arbitrary<int>();
     absl::StatusOr<Json::Value> Value =
         parseJson("{\"cores\":[[\"h\"," + std::to_string(Number) +
-                  ",1,-5,0,0,0,0,0],[1],{}," + (Text.empty() ? "0" : "[]") +
+                  ",1,-5,0,0,0,0,0,0],[1],{}," + (Text.empty() ? "0" : "[]") +
                   "],\"details\":[{\"h\":\"x\",\"a\":\"y\"}]}");
     RC_ASSERT(Value.ok());
     GossipMessage Heard = gossipFromJson(*Value);
     for (const GossipMessage::Core &Each : Heard.Cores)
-      RC_ASSERT(Each.Age >= absl::ZeroDuration());
+      RC_ASSERT(Each.Age.Seeming >= absl::ZeroDuration());
     RC_ASSERT(Heard.Details.empty());
     absl::StatusOr<Json::Value> Odd = parseJson(Text);
     if (Odd.ok())
