Remove a function that nothing calls

Cause: isRestricting stood in the table's header with no caller: hosts apply every edit as they read it, restricting or not.

Change: it is gone. No check is touched.

Conclusion: seen beside it and left: the counter late_answers_dropped and the fault Late are never raised, since a late answer has no connection to come on.

--- a/include/berylramp/table.h
+++ b/include/berylramp/table.h
@@ -198,9 +198,6 @@
 /// Compiles cells; the error lists every fault with its row and remedy.
 absl::StatusOr<Table> compileTable(const Rows &Cells);
 
-/// True when every change only takes away: withdraw, hold or a lower limit.
-bool isRestricting(const Edit &Which);
-
 /// Reads rows from CSV with the columns row, field, value.
 absl::StatusOr<std::vector<CellChange>> changesFromCsv(const std::string &Csv);
 /// The table as CSV with the columns row, field, value.
--- a/src/table/fold.cpp
+++ b/src/table/fold.cpp
@@ -300,15 +300,4 @@
   return nullptr;
 }
 
-bool isRestricting(const Edit &Which) {
-  for (const CellChange &Change : Which.Changes) {
-    bool Withdraws = Change.Field == "state" &&
-                     (Change.Value == "withdrawn" || Change.Value == "held");
-    bool Forbids = Change.Field == "allowed" && Change.Value == "no";
-    if (!Withdraws && !Forbids)
-      return false;
-  }
-  return !Which.Changes.empty();
-}
-
 } // namespace berylramp
