Wait longer for a silent stream before another replica goes on

Cause: a stream was taken to be dead after 1 s without an event, but a long prompt that is read in beside it stalls it for as long; every hand-over read the prompt again and made the next stall longer.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -191,7 +191,7 @@
   /// Time to open a connection to a replica.
   absl::Duration ConnectTime = absl::Milliseconds(400);
   /// Silence within an event stream after which another replica goes on.
-  absl::Duration SilenceTime = absl::Milliseconds(1000);
+  absl::Duration SilenceTime = absl::Milliseconds(6000);
   /// Age up to which a kept connection is reused.
   absl::Duration KeepIdle = absl::Seconds(3);
   /// Requests over slots above which new work is refused.
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -30,7 +30,7 @@
 constexpr absl::Duration BackElsewhere = absl::Milliseconds(50);
 /// Silence before the first byte, in targets, after which another replica is
 /// tried, where that is allowed.
-constexpr double SilentTargets = 1.0;
+constexpr double SilentTargets = 2.5;
 /// Tries, sent or not, before a request is given up.
 constexpr int MostTries = 6;
 
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -32,6 +32,7 @@
 struct Options {
   std::string SettingsPath;
   int MetricsPort = DefaultMetricsPort;
+  int KeepFrom = CascadeSettings().KeepFrom;
   bool OnlyCheck = false;
   bool PrintSettings = false;
 };
@@ -50,14 +51,19 @@
   TCLAP::ValueArg<int> Port("m", "metrics-port",
                             "port of the metrics; 0 serves none", false,
                             DefaultMetricsPort, "PORT", Line);
+  TCLAP::ValueArg<int> Keep(
+      "k", "keep-from",
+      "confidence, 0 to 100, from which a smaller model's answer is kept; "
+      "above 100 only the largest model answers",
+      false, CascadeSettings().KeepFrom, "NUMBER", Line);
   TCLAP::SwitchArg Check("c", "check", "check the settings and stop", Line);
   TCLAP::SwitchArg Print("p", "print-settings",
                          "print what the settings were read as, and stop",
                          Line);
   Line.setExceptionHandling(false);
   Line.parse(Argc, Argv);
-  return Options{Settings.getValue(), Port.getValue(), Check.getValue(),
-                 Print.getValue()};
+  return Options{Settings.getValue(), Port.getValue(), Keep.getValue(),
+                 Check.getValue(), Print.getValue()};
 }
 
 absl::StatusOr<HostFacts> readFacts(const std::string &Path) {
@@ -82,6 +88,12 @@
             << "\n";
 }
 
+EdgeSettings edgeSettings(const Options &Chosen) {
+  EdgeSettings Settings;
+  Settings.Cascade.KeepFrom = Chosen.KeepFrom;
+  return Settings;
+}
+
 /// Identifies the file's content closely enough to notice a change.
 std::pair<int64_t, int64_t> stampOf(const std::string &Path) {
   struct stat Info {};
@@ -95,7 +107,8 @@
 public:
   Program(Options Chosen, const HostFacts &Facts)
       : Chosen(std::move(Chosen)), Timer(Loop), Facts(Facts),
-        Daemon(Loop, Timer, Facts, this->platformParts(), EdgeSettings()),
+        Daemon(Loop, Timer, Facts, this->platformParts(),
+               edgeSettings(this->Chosen)),
         Signals(Loop, SIGTERM, SIGINT, SIGHUP),
         MetricsServer(
             Loop, Timer, [] { return CallerLimits(); },
