--- a/include/berylramp/cascade.h
+++ b/include/berylramp/cascade.h
@@ -30,7 +30,7 @@
   /// largest: the probe is lost whenever its answer is dropped.
   double MostProbeCost = 0.15;
   /// Confidence, 0 to 100, from which a smaller model's answer is kept.
-  int KeepFrom = 101;
+  int KeepFrom = 44;
 };
 
 /// The index of the model for the first attempt.
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -231,6 +231,8 @@
   ~Exchange();
 
   void handle(HttpRequest Request, ResponderPtr Answer);
+  /// Second attempts that may be saved up for each service.
+  void setRetrySlack(double Slack);
   /// Requests under way.
   size_t active() const;
   /// Breaks off what is still under way, streams between two events.
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -122,6 +122,7 @@
       : Ratio(Ratio), Most(Most), Saved(Most) {}
 
   void firstAttempt();
+  void setMost(double Count) { this->Most = Count; }
   /// Takes one second attempt out of the budget; false when it is empty.
   bool take();
 
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -38,7 +38,7 @@
 /// Part of the operators' retry allowance that the hosts use by plan; the rest
 /// covers their counting in other windows.
 constexpr double RetryPart = 0.75;
-constexpr double SlackPart = 0.5;
+constexpr double SlackPart = 0.8;
 
 absl::Duration clockOf(clockid_t Which) {
   timespec Now{};
@@ -153,10 +153,8 @@
   Out.Names = this->Platform.Codec.Headers;
   const HostBounds &Bounds = this->Facts.Bounds;
   Out.RetryRatio = Bounds.RetryRatio * RetryPart;
-  // The number of hosts is not known at the start; a place has a few.
-  constexpr double HostsAssumed = 8;
-  Out.RetrySlack =
-      std::max(1.0, Bounds.RetrySlack * SlackPart / HostsAssumed);
+  // Until it is known how many hosts share the slack.
+  Out.RetrySlack = 1;
   Out.Cascade = this->Settings.Cascade;
   return Out;
 }
@@ -432,8 +430,11 @@
 void EdgeDaemon::State::tick() {
   this->Peers.self().Ready = this->ready();
   this->Peers.self().Leaving = this->Leaving;
-  this->Registry.setHostsSharing(
-      static_cast<int>(this->Peers.live(this->Timer.now()).size()) + 1);
+  size_t Hosts = this->Peers.live(this->Timer.now()).size() + 1;
+  this->Registry.setHostsSharing(static_cast<int>(Hosts));
+  this->Relays->setRetrySlack(std::max(
+      1.0, this->Facts.Bounds.RetrySlack * SlackPart /
+               static_cast<double>(Hosts)));
   this->Rollouts->tick(this->Peers);
   this->noticePause();
   this->askPeer();
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -270,8 +270,10 @@
     this->giveUp(RefusalKind::Overloaded, "the replicas' queues are full");
     return;
   }
-  if (this->AttemptsSent > 0 &&
-      !this->Core.budget(this->Service).take()) {
+  bool Paid = this->AttemptsSent == 0 || this->BudgetTaken ||
+              this->Core.budget(this->Service).take();
+  this->BudgetTaken = false;
+  if (!Paid) {
     this->giveUp(RefusalKind::UpstreamFailed, "the retry budget is used up");
     return;
   }
@@ -374,9 +376,13 @@
     return false;
   CascadeQuery Query = this->Models;
   Query.AttemptsLeft = this->Which->MaxAttempts - this->AttemptsSent + 1;
-  return !keepsAnswer(Query, this->Core.Settings.Cascade, this->ModelIndex,
-                      Confidence) &&
-         this->maySecond();
+  bool Unsure = !keepsAnswer(Query, this->Core.Settings.Cascade,
+                             this->ModelIndex, Confidence);
+  if (!Unsure || !this->maySecond())
+    return false;
+  // An unsure answer is better than none: keep it when no budget is left.
+  this->BudgetTaken = this->Core.budget(this->Service).take();
+  return this->BudgetTaken;
 }
 
 void Relay::bodyArrived(Attempt &From, std::string Part) {
@@ -621,6 +627,12 @@
   Made->start();
 }
 
+void Exchange::setRetrySlack(double Slack) {
+  this->Shared->Settings.RetrySlack = Slack;
+  for (auto &[Service, Budget] : this->Shared->Budgets)
+    Budget.setMost(Slack);
+}
+
 size_t Exchange::active() const { return this->Shared->Active.size(); }
 
 void Exchange::abortAll() {
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -81,7 +81,7 @@
   int Tries = 0;
   EventOrder Order;
   bool StreamBegun = false;
-  HttpHead BrokenHead;
+  bool BudgetTaken = false;
   bool Done = false;
 };
 
