Record no roll-out state before the states were read, and move few sessions

Ruled out: lapsed entries of replicas (all were known again). Change: a state is written only where the topic's end is known; the target is used when no other version is left; the canary share falls with the number of replicas; the share changes at a set time, not at each host's tick.

--- a/include/berylramp/rollout.h
+++ b/include/berylramp/rollout.h
@@ -11,6 +11,7 @@
 
 #include "absl/time/time.h"
 #include "berylramp/units.h"
+#include <cstddef>
 #include <cstdint>
 
 namespace berylramp {
@@ -68,8 +69,13 @@
 /// other versions do.
 bool targetIsBad(const RolloutEvidence &Seen);
 
-/// The step of a roll-out that began \p Elapsed ago.
-RolloutStep nextStep(const RolloutOrder &Order, const ExposureBounds &Bounds,
+/// The share of sessions that try the target first, for a service with
+/// \p Replicas replicas of other versions.
+double canaryShare(const ExposureBounds &Bounds, size_t Replicas);
+
+/// The step of a roll-out that began \p Elapsed ago and whose first sessions
+/// are \p Canary of all.
+RolloutStep nextStep(const RolloutOrder &Order, double Canary,
                      const RolloutEvidence &Seen, absl::Duration Elapsed);
 
 } // namespace berylramp
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -195,6 +195,11 @@
   RolloutDesk::Ports Ports;
   Ports.Write = [this](const RolloutOrder &Order, RolloutState Next,
                        AppendDone Done) {
+    // Without the states so far, an end state might be written over.
+    if (this->States->next() == NoOffset) {
+      Done(absl::FailedPreconditionError("the states were not read yet"));
+      return;
+    }
     this->Platform.Store.Append(
         StoreTopic::RolloutStates,
         this->Platform.Codec.EncodeRolloutState(Order, Next),
@@ -206,12 +211,12 @@
   };
   Ports.Rank = [this] { return this->rank(); };
   Ports.Now = [this] { return this->Timer.now(); };
-  Ports.Exists = [this](const ServiceId &Service, const VersionId &Version) {
+  Ports.Replicas = [this](const ServiceId &Service, const VersionId &Target) {
+    std::pair<size_t, size_t> Counts{0, 0};
     for (const ReplicaPtr &Each : this->Registry.replicasOf(Service))
-      if (Each->Entry.Version == Version && !Each->Entry.Draining &&
-          !Each->Removed)
-        return true;
-    return false;
+      if (!Each->Entry.Draining && !Each->Removed)
+        (Each->Entry.Version == Target ? Counts.first : Counts.second) += 1;
+    return Counts;
   };
   this->Rollouts = std::make_unique<RolloutDesk>(this->Facts.Bounds.Exposure,
                                                  std::move(Ports));
--- a/src/edge/rollout_desk.cpp
+++ b/src/edge/rollout_desk.cpp
@@ -94,10 +94,18 @@
   VersionRule Rule{Which.Order.Target, false};
   if (Which.State == RolloutState::Reverted || Which.Tripped)
     return Rule;
-  bool All = Which.State == RolloutState::Complete;
-  bool Target = All || Draw < Which.Share;
-  Rule.ToTarget =
-      Target && this->Outside.Exists(Service, Which.Order.Target);
+  auto [Targets, Others] = this->Outside.Replicas(Service, Rule.Target);
+  if (Targets == 0)
+    return Rule;
+  // The share changes at a set time, not at a tick, so that no session meets
+  // hosts before and after the change.
+  absl::Duration Elapsed = this->Outside.Now() - Which.SeenAt;
+  double Share = Which.State == RolloutState::Complete
+                     ? 1
+                     : nextStep(Which.Order, Which.Canary, Which.Seen, Elapsed)
+                           .Share;
+  // Without another version the roll-out ended, whatever was recorded.
+  Rule.ToTarget = Draw < Share || Others == 0;
   return Rule;
 }
 
@@ -115,7 +123,13 @@
   Instant Began{this->Outside.Now().SinceStart - Elapsed};
   if (Began < Which.SeenAt)
     Which.SeenAt = Began;
-  RolloutStep Next = nextStep(Which.Order, this->Bounds, Seen, Elapsed);
+  if (Which.Canary == 0) {
+    auto [Targets, Others] =
+        this->Outside.Replicas(Which.Order.Service, Which.Order.Target);
+    Which.Canary = canaryShare(this->Bounds, Others);
+  }
+  Which.Seen = Seen;
+  RolloutStep Next = nextStep(Which.Order, Which.Canary, Seen, Elapsed);
   if (Next.State == RolloutState::Reverted && !Which.Tripped) {
     Which.Tripped = true;
     Json::Value Line = lineOf(Which.Order);
@@ -128,7 +142,7 @@
     logEvent(LogLevel::Warn, "rollout_tripped", Line);
     this->Outside.Urge();
   }
-  if (Next.Share != Which.Share) {
+  if (Next.Share != Which.ToldShare) {
     Json::Value Line = lineOf(Which.Order);
     Line["share"] = Next.Share;
     Line["elapsed_ms"] = Json::Int64(absl::ToInt64Milliseconds(Elapsed));
@@ -136,7 +150,7 @@
     Line["target_bad"] = Json::Int64(Seen.Target.Bad);
     logEvent(LogLevel::Info, "rollout_share", Line);
   }
-  Which.Share = Next.Share;
+  Which.ToldShare = Next.Share;
   this->want(Which, Next.State);
 }
 
--- a/src/edge/rollout_desk.h
+++ b/src/edge/rollout_desk.h
@@ -24,12 +24,14 @@
     /// The number of live hosts before this one in the order of addresses.
     std::function<int()> Rank;
     std::function<Instant()> Now;
-    /// Whether a usable replica of the version exists.
-    std::function<bool(const ServiceId &, const VersionId &)> Exists;
+    /// Usable replicas of the target and of the other versions.
+    std::function<std::pair<size_t, size_t>(const ServiceId &,
+                                            const VersionId &)>
+        Replicas;
   };
 
-  RolloutDesk(ExposureBounds Bounds, Ports Ports)
-      : Bounds(Bounds), Outside(std::move(Ports)) {}
+  RolloutDesk(ExposureBounds Bounds, Ports Outside)
+      : Bounds(Bounds), Outside(std::move(Outside)) {}
 
   void ordered(const RolloutOrder &Order);
   void recorded(const ServiceId &Service, const VersionId &Target,
@@ -54,7 +56,10 @@
     bool Tripped = false;
     bool Known = false;
     RolloutState State = RolloutState::InProgress;
-    double Share = 0;
+    double Canary = 0;
+    double ToldShare = 0;
+    /// All hosts' evidence at the last tick.
+    RolloutEvidence Seen;
     /// The state that this host wants to record, and since when.
     RolloutState Wanted = RolloutState::InProgress;
     Instant WantedSince;
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -604,6 +604,9 @@
     Line["replica"] = this->LastReplica;
   if (this->ChoosesModel)
     Line["model"] = this->Which->Models[this->ModelIndex].text();
+  if (const std::string *Session = findHeader(
+          this->Request.Headers, this->Core.Settings.Names.Session))
+    Line["session"] = *Session;
   if (this->Order.any())
     Line["last_event"] = Json::Int64(this->Order.last());
   if (!Why.empty())
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -15,9 +15,14 @@
 
 namespace {
 
-/// Part of the allowed share that the first half uses; the rest pays for the
-/// answers that arrive between a failure and its detection.
+/// Part of the allowed share that the first half uses at most; the rest pays
+/// for the answers that arrive between a failure and its detection.
 constexpr double CanaryPart = 0.6;
+/// Canary share times replicas: a few requests a second at the load that fills
+/// half of the replicas' slots. Every session that is under way when the
+/// roll-out begins may change its version with this share, so that more would
+/// only move more sessions.
+constexpr double CanaryReplicas = 0.5;
 /// Bad answers before a version is judged: fewer are noise of single replicas.
 constexpr int64_t FewestBad = 4;
 /// A target is bad when its failing share exceeds the others' by this factor
@@ -28,13 +33,11 @@
 constexpr double SlowFactor = 3.0;
 constexpr int64_t FewestForSpeed = 12;
 /// Good answers of the target before it may take all work.
-constexpr int64_t FewestGood = 15;
-/// Parts of the order's time at which the target takes half, then all of the
-/// work, and at which the roll-out is recorded as complete.
-constexpr double RampFrom = 0.52;
-constexpr double AllFrom = 0.6;
+constexpr int64_t FewestGood = 8;
+/// Parts of the order's time at which the target takes all of the work, and at
+/// which the roll-out is recorded as complete.
+constexpr double AllFrom = 0.52;
 constexpr double CompleteFrom = 0.86;
-constexpr double RampShare = 0.5;
 
 double failingShare(const AnswerTally &Tally) {
   if (Tally.total() == 0)
@@ -66,16 +69,19 @@
   return failingShare(Seen.Target) > Tolerated;
 }
 
-RolloutStep nextStep(const RolloutOrder &Order, const ExposureBounds &Bounds,
+double canaryShare(const ExposureBounds &Bounds, size_t Replicas) {
+  double Share = CanaryReplicas / static_cast<double>(std::max<size_t>(
+                                      Replicas, 1));
+  return std::min(Share, Bounds.Share * CanaryPart);
+}
+
+RolloutStep nextStep(const RolloutOrder &Order, double Canary,
                      const RolloutEvidence &Seen, absl::Duration Elapsed) {
   if (targetIsBad(Seen))
     return {0, RolloutState::Reverted};
-  double Canary = Bounds.Share * CanaryPart;
   double Part = absl::FDivDuration(Elapsed, Order.Within);
-  if (Part < RampFrom || Seen.Target.Good < FewestGood)
+  if (Part < AllFrom || Seen.Target.Good < FewestGood)
     return {Canary, RolloutState::InProgress};
-  if (Part < AllFrom)
-    return {std::max(Canary, RampShare), RolloutState::InProgress};
   if (Part < CompleteFrom)
     return {1, RolloutState::InProgress};
   return {1, RolloutState::Complete};
