Let one host of a region read the store for the others

Change: the live, ready host with the lowest address in a region reads the store; the others ask it every 0.5 s for what changed, and read the store themselves for 4 s when it does not answer or its records are older than 1.3 s.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -142,10 +142,11 @@
 struct EdgeSettings {
   /// Time between reads of the replicas' entries: well under the bound on
   /// work for a leaving replica.
-  absl::Duration ReplicaReads = absl::Milliseconds(1000);
-  /// How long a read waits for the operators' next record: shows a dead
-  /// connection within the time in which a table must be in force.
-  absl::Duration OperatorWait = absl::Seconds(8);
+  absl::Duration ReplicaReads = absl::Milliseconds(600);
+  /// How long a read waits for the operators' next record.
+  absl::Duration OperatorWait = absl::Seconds(4);
+  /// Time between questions to the host that reads the store for a region.
+  absl::Duration PeerReads = absl::Milliseconds(500);
   /// Time between datagrams, and peers that get one each time.
   absl::Duration GossipEvery = absl::Milliseconds(500);
   int GossipTargets = 3;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -31,6 +31,12 @@
   bool Draining = false;
   /// Unix milliseconds of the replica's start; 0 when not told.
   int64_t BornMs = 0;
+
+  friend bool operator==(const ReplicaEntry &A, const ReplicaEntry &B) {
+    return A.Id == B.Id && A.Service == B.Service && A.Address == B.Address &&
+           A.Place == B.Place && A.Version == B.Version && A.Slots == B.Slots &&
+           A.Draining == B.Draining && A.BornMs == B.BornMs;
+  }
 };
 
 /// Load that a replica reported with an answer.
@@ -146,10 +152,6 @@
   void evict(const UpstreamId &Id, Instant Now);
   /// Drops removed replicas that nothing uses any more.
   void sweep(Instant Now);
-  /// Removes all replicas whose id is not in \p Kept.
-  void keepOnly(const std::vector<UpstreamId> &Kept, Instant Now,
-                absl::Duration UsableFor);
-
   /// The best replica for \p Query, or null.
   ReplicaPtr choose(const ChoiceQuery &Query) const;
   /// Whether a replica of the service has room for another request.
@@ -164,6 +166,7 @@
 
   void setHostsSharing(int Count) { this->Settings.HostsSharing = Count; }
   size_t size() const { return this->ById.size(); }
+  std::vector<UpstreamId> ids() const;
   std::vector<ReplicaPtr> replicasOf(const ServiceId &Service) const;
   ReplicaPtr find(const UpstreamId &Id) const;
 
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -30,9 +30,13 @@
 constexpr absl::Duration LapsedReturn = absl::Seconds(2);
 /// A peer's newer table, or a store that fails, for this long has this host
 /// ask a peer.
-constexpr absl::Duration AskPeerAfter = absl::Milliseconds(400);
+constexpr absl::Duration AskPeerAfter = absl::Milliseconds(600);
 constexpr absl::Duration StoreAwayAfter = absl::Milliseconds(1500);
-constexpr absl::Duration AskPeerEvery = absl::Milliseconds(700);
+/// Records older than this at the host that reads for the region have this
+/// host read the store itself: two reads that failed.
+constexpr absl::Duration ReaderAgeBound = absl::Milliseconds(1300);
+/// After a reader failed, how long this host reads the store itself.
+constexpr absl::Duration DirectFor = absl::Seconds(4);
 /// A step of the boot clock against the steady clock that shows a pause.
 constexpr absl::Duration PauseNoticed = absl::Milliseconds(400);
 /// Part of the operators' retry allowance that the hosts use by plan; the rest
@@ -73,7 +77,8 @@
         EdgePlatform Platform, EdgeSettings Settings)
       : Loop(Loop), Timer(Timer), Facts(std::move(Facts)),
         Platform(std::move(Platform)), Settings(std::move(Settings)),
-        Registry(this->choiceSettings()), Peers(this->ownState()) {}
+        Registry(this->choiceSettings()), Peers(this->ownState()),
+        Book(this->Peers.self().Life) {}
 
   ChoiceSettings choiceSettings() const {
     ChoiceSettings Out;
@@ -94,6 +99,10 @@
   void tick();
   void sweep();
   void askPeer();
+  uint32_t readerOfRegion() const;
+  bool needsPeer() const;
+  void tookPeer(const absl::StatusOr<PeerRecords> &Records, bool Reader);
+  void followStore(bool Direct);
   void noticePause();
   std::unique_ptr<HttpListener> listener(RequestHandler Handler);
   ExchangeSettings exchangeSettings() const;
@@ -102,8 +111,12 @@
   void operatorRecords(const std::vector<StoreRecord> &Records);
   void takeTable(const std::string &Key, const std::string &Text);
   void stateRecords(const std::vector<StoreRecord> &Records);
-  void replicaRecords(const std::vector<StoreRecord> &Records, bool Whole);
+  void replicaRecords(const std::vector<StoreRecord> &Records, bool Whole,
+                      bool JustBack);
+  bool storeJustBack() const;
   void peerRecords(const PeerRecords &Records);
+  void takeReplica(const StoreRecord &Record, absl::Duration Usable);
+  void skipped(const std::string &Key, const absl::Status &Why);
   void hostRecords(const std::vector<StoreRecord> &Records);
 
   bool ready() const {
@@ -135,13 +148,13 @@
   std::unique_ptr<HttpListener> Directory;
   std::unique_ptr<HttpListener> PeerCalls;
   RouteTablePtr Table;
-  /// The newest text of each key, to hand to peers.
-  std::map<std::string, std::string> OperatorTexts;
-  std::map<std::string, std::string> StateTexts;
-  std::map<std::string, std::string> ReplicaTexts;
-  std::set<std::string> BadReplicas;
+  RecordBook Book;
+  std::set<std::string> BadKeys;
   Instant NewerTableSince;
-  Instant AskedPeerAt;
+  /// When records were last taken from the region's reader.
+  Instant ReaderGoodAt;
+  absl::Duration ReaderAge;
+  Instant DirectUntil;
   absl::Duration ClockGap;
   bool Leaving = false;
   Instant LeavingSince;
@@ -178,7 +191,6 @@
     Line["replica"] = Id.text();
     logEvent(LogLevel::Warn, "replica_misdirected", Line);
     this->Registry.evict(Id, this->Timer.now());
-    this->ReplicaTexts.erase(Id.text());
   };
   return Hooks;
 }
@@ -256,6 +268,7 @@
   this->follow();
   this->Timer.every(TickEvery, [this] { this->tick(); });
   this->Timer.every(SweepEvery, [this] { this->sweep(); });
+  this->Timer.every(this->Settings.PeerReads, [this] { this->askPeer(); });
   this->Timer.every(this->Settings.GossipEvery, [this] {
     this->Peers.self().Rollouts = this->Rollouts->notes();
     this->Link->spread();
@@ -287,7 +300,7 @@
       {StoreTopic::Replicas, "replicas", absl::ZeroDuration(),
        this->Settings.ReplicaReads},
       [this](const std::vector<StoreRecord> &Records, bool Whole) {
-        this->replicaRecords(Records, Whole);
+        this->replicaRecords(Records, Whole, this->storeJustBack());
       });
   StoreRecord Own{this->Facts.Name.text(), this->Facts.Ip};
   this->Platform.Store.Append(
@@ -303,6 +316,17 @@
       });
 }
 
+void EdgeDaemon::State::skipped(const std::string &Key,
+                                const absl::Status &Why) {
+  // A writer repeats its record: one line is enough.
+  if (!this->BadKeys.insert(Key).second)
+    return;
+  Json::Value Line(Json::objectValue);
+  Line["key"] = Key;
+  Line["error"] = std::string(Why.message());
+  logEvent(LogLevel::Warn, "record_skipped", Line);
+}
+
 void EdgeDaemon::State::operatorRecords(
     const std::vector<StoreRecord> &Records) {
   for (const StoreRecord &Each : Records) {
@@ -318,18 +342,15 @@
     absl::StatusOr<RolloutOrder> Order =
         this->Platform.Codec.DecodeRollout(*Each.Value);
     if (!Order.ok()) {
-      Json::Value Line(Json::objectValue);
-      Line["key"] = Each.Key;
-      Line["error"] = std::string(Order.status().message());
-      logEvent(LogLevel::Warn, "record_skipped", Line);
+      this->skipped(Each.Key, Order.status());
       continue;
     }
-    this->OperatorTexts[Each.Key] = *Each.Value;
+    this->Book.put(StoreTopic::Operators, Each);
     this->Rollouts->ordered(*Order);
-    auto Known = this->StateTexts.find(
-        this->Platform.Codec.RolloutKey(Order->Service));
-    if (Known != this->StateTexts.end())
-      this->stateRecords({StoreRecord{Known->first, Known->second}});
+    std::string Key = this->Platform.Codec.RolloutKey(Order->Service);
+    const std::string *Known = this->Book.find(StoreTopic::RolloutStates, Key);
+    if (Known != nullptr)
+      this->stateRecords({StoreRecord{Key, *Known}});
   }
 }
 
@@ -337,21 +358,20 @@
                                   const std::string &Text) {
   absl::StatusOr<RouteTable> Decoded =
       this->Platform.Codec.DecodeTable(Text);
-  Json::Value Line(Json::objectValue);
   if (!Decoded.ok()) {
-    Line["error"] = std::string(Decoded.status().message());
-    logEvent(LogLevel::Warn, "table_skipped", Line);
+    this->skipped(Key, Decoded.status());
     return;
   }
   TableVersion Known = this->Table ? this->Table->Version : NoTable;
   if (Decoded->Version <= Known)
     return;
+  Json::Value Line(Json::objectValue);
   Line["version"] = Json::Int64(Decoded->Version.count());
   Line["before"] = Json::Int64(Known.count());
   Line["routes"] = Json::Int64(Decoded->Routes.size());
   this->Table = std::make_shared<RouteTable>(*std::move(Decoded));
   this->Peers.self().Table = this->Table->Version;
-  this->OperatorTexts[Key] = Text;
+  this->Book.put(StoreTopic::Operators, {Key, Text});
   this->Counters.count(Counter::EditsAccepted);
   logEvent(LogLevel::Info, "table_in_force", Line);
 }
@@ -360,63 +380,72 @@
   for (const StoreRecord &Each : Records) {
     if (!Each.Value)
       continue;
-    this->StateTexts[Each.Key] = *Each.Value;
+    this->Book.put(StoreTopic::RolloutStates, Each);
     auto Decoded = this->Platform.Codec.DecodeRolloutState(*Each.Value);
-    if (!Decoded.ok())
+    if (!Decoded.ok()) {
+      this->skipped(Each.Key, Decoded.status());
       continue;
+    }
     for (const ServiceId &Service : this->Rollouts->services())
       if (this->Platform.Codec.RolloutKey(Service) == Each.Key)
         this->Rollouts->recorded(Service, Decoded->first, Decoded->second);
   }
 }
 
-void EdgeDaemon::State::replicaRecords(const std::vector<StoreRecord> &Records,
-                                       bool Whole) {
+void EdgeDaemon::State::takeReplica(const StoreRecord &Record,
+                                    absl::Duration Usable) {
   Instant Now = this->Timer.now();
-  bool JustBack = this->Replicas != nullptr &&
-                  Now - this->Replicas->regainedAt() < LapsedReturn;
+  UpstreamId Id(Record.Key);
+  ReplicaPtr Known = this->Registry.find(Id);
+  Json::Value Line(Json::objectValue);
+  Line["replica"] = Record.Key;
+  if (!Record.Value) {
+    this->Book.put(StoreTopic::Replicas, Record);
+    this->Registry.remove(Id, Now, Usable);
+    Line["usable_ms"] = Json::Int64(absl::ToInt64Milliseconds(Usable));
+    if (Known != nullptr)
+      logEvent(LogLevel::Info, "replica_removed", Line);
+    return;
+  }
+  absl::StatusOr<ReplicaEntry> Entry =
+      this->Platform.Codec.DecodeReplica(Record.Key, *Record.Value);
+  if (!Entry.ok()) {
+    this->skipped(Record.Key, Entry.status());
+    this->Book.put(StoreTopic::Replicas, {Record.Key, std::nullopt});
+    this->Registry.evict(Id, Now);
+    return;
+  }
+  bool Same = Known != nullptr && !Known->Removed && Known->Entry == *Entry;
+  if (Same)
+    return;
+  // Beats change the text; peers hear only of what matters.
+  this->Book.put(StoreTopic::Replicas, Record);
+  Line["service"] = Entry->Service.text();
+  Line["address"] = Entry->Address.text();
+  Line["version"] = Entry->Version.text();
+  Line["draining"] = Entry->Draining;
+  logEvent(LogLevel::Info, "replica_entry", Line);
+  this->Registry.put(*Entry, Now);
+}
+
+bool EdgeDaemon::State::storeJustBack() const {
+  return this->Replicas != nullptr &&
+         this->Timer.now() - this->Replicas->regainedAt() < LapsedReturn;
+}
+
+void EdgeDaemon::State::replicaRecords(const std::vector<StoreRecord> &Records,
+                                       bool Whole, bool JustBack) {
   absl::Duration Usable = JustBack ? LapsedReturn : absl::ZeroDuration();
-  std::vector<UpstreamId> Seen;
+  std::set<std::string> Seen;
   for (const StoreRecord &Each : Records) {
-    UpstreamId Id(Each.Key);
-    if (!Each.Value) {
-      this->ReplicaTexts.erase(Each.Key);
-      this->Registry.remove(Id, Now, Usable);
-      Json::Value Line(Json::objectValue);
-      Line["replica"] = Each.Key;
-      Line["usable_ms"] = Json::Int64(absl::ToInt64Milliseconds(Usable));
-      logEvent(LogLevel::Info, "replica_removed", Line);
-      continue;
-    }
-    absl::StatusOr<ReplicaEntry> Entry =
-        this->Platform.Codec.DecodeReplica(Each.Key, *Each.Value);
-    if (!Entry.ok()) {
-      if (this->BadReplicas.insert(Each.Key).second) {
-        Json::Value Line(Json::objectValue);
-        Line["key"] = Each.Key;
-        Line["error"] = std::string(Entry.status().message());
-        logEvent(LogLevel::Warn, "record_skipped", Line);
-      }
-      this->Registry.evict(Id, Now);
-      continue;
-    }
-    Seen.push_back(Id);
-    this->ReplicaTexts[Each.Key] = *Each.Value;
-    ReplicaPtr Known = this->Registry.find(Id);
-    if (Known == nullptr || Known->Entry.Draining != Entry->Draining) {
-      Json::Value Line(Json::objectValue);
-      Line["replica"] = Each.Key;
-      Line["service"] = Entry->Service.text();
-      Line["address"] = Entry->Address.text();
-      Line["version"] = Entry->Version.text();
-      Line["draining"] = Entry->Draining;
-      logEvent(LogLevel::Info, "replica_entry", Line);
-    }
-    this->Registry.put(*Entry, Now);
+    this->takeReplica(Each, Usable);
+    Seen.insert(Each.Key);
   }
   if (Whole)
-    this->Registry.keepOnly(Seen, Now, Usable);
-  this->Registry.sweep(Now);
+    for (const UpstreamId &Id : this->Registry.ids())
+      if (Seen.count(Id.text()) == 0)
+        this->takeReplica({Id.text(), std::nullopt}, Usable);
+  this->Registry.sweep(this->Timer.now());
 }
 
 void EdgeDaemon::State::hostRecords(const std::vector<StoreRecord> &Records) {
@@ -428,8 +457,10 @@
 void EdgeDaemon::State::peerRecords(const PeerRecords &Records) {
   this->operatorRecords(Records.Operators);
   this->stateRecords(Records.States);
-  if (Records.ReplicasAge < this->Replicas->age())
-    this->replicaRecords(Records.Replicas, true);
+  bool Newer = this->Replicas->paused() || Records.Age < this->Replicas->age();
+  if (Newer)
+    this->replicaRecords(Records.Replicas, Records.Whole,
+                         Records.StoreJustBack);
 }
 
 void EdgeDaemon::State::tick() {
@@ -442,7 +473,6 @@
                static_cast<double>(Hosts)));
   this->Rollouts->tick(this->Peers);
   this->noticePause();
-  this->askPeer();
 }
 
 void EdgeDaemon::State::sweep() {
@@ -463,6 +493,39 @@
   logEvent(LogLevel::Warn, "host_paused", Line);
 }
 
+uint32_t EdgeDaemon::State::readerOfRegion() const {
+  uint32_t Reader = this->Peers.self().Ip;
+  for (const Peer *Each : this->Peers.live(this->Timer.now())) {
+    auto Region = this->Facts.Regions.find(Each->State.Place);
+    bool Near = Region != this->Facts.Regions.end() &&
+                Region->second == this->Facts.Region;
+    if (Near && !Each->State.Leaving && Each->State.Ready)
+      Reader = std::min(Reader, Each->State.Ip);
+  }
+  return Reader;
+}
+
+void EdgeDaemon::State::followStore(bool Direct) {
+  if (Direct == !this->Replicas->paused())
+    return;
+  Json::Value Line(Json::objectValue);
+  Line["from"] = Direct ? "store" : "peer";
+  Line["reader"] = ipText(this->readerOfRegion());
+  logEvent(LogLevel::Info, "record_source", Line);
+  for (const auto &Each : {this->Operators, this->States, this->Replicas}) {
+    if (Direct)
+      Each->resume(Each == this->Replicas);
+    else
+      Each->pause();
+  }
+}
+
+bool EdgeDaemon::State::needsPeer() const {
+  bool Away = !this->Replicas->reachable() &&
+              this->Replicas->age() > StoreAwayAfter;
+  return Away || this->Timer.now() - this->NewerTableSince > AskPeerAfter;
+}
+
 void EdgeDaemon::State::askPeer() {
   Instant Now = this->Timer.now();
   TableVersion Own = this->Table ? this->Table->Version : NoTable;
@@ -475,21 +538,40 @@
   }
   if (Newer.empty())
     this->NewerTableSince = Now;
-  bool Behind = Now - this->NewerTableSince > AskPeerAfter;
-  bool Away = !this->Replicas->reachable() &&
-              this->Replicas->age() > StoreAwayAfter;
-  if ((!Behind && !Away) || Now - this->AskedPeerAt < AskPeerEvery)
+  uint32_t Reader = this->readerOfRegion();
+  bool Direct = Reader == this->Peers.self().Ip || !this->ready() ||
+                this->Leaving || Now < this->DirectUntil;
+  if (Direct)
+    this->followStore(true);
+  bool FromReader = !Direct;
+  if (Direct && !this->needsPeer())
     return;
-  const std::vector<uint32_t> &From = Behind ? Newer : Any;
-  if (From.empty())
+  const std::vector<uint32_t> &From = Newer.empty() ? Any : Newer;
+  if (!FromReader && From.empty())
     return;
-  this->AskedPeerAt = Now;
+  uint32_t Asked =
+      FromReader ? Reader : From[randomDraw() % From.size()];
   auto Weak = this->weak_from_this();
-  this->Link->fetch(From[randomDraw() % From.size()],
-                    [Weak](const PeerRecords &Records) {
-                      if (auto Self = Weak.lock())
-                        Self->peerRecords(Records);
-                    });
+  this->Link->fetch(
+      Asked, [Weak, FromReader](const absl::StatusOr<PeerRecords> &Records) {
+        if (auto Self = Weak.lock())
+          Self->tookPeer(Records, FromReader);
+      });
+}
+
+void EdgeDaemon::State::tookPeer(const absl::StatusOr<PeerRecords> &Records,
+                                 bool Reader) {
+  bool Fresh = Records.ok() && Records->Age < ReaderAgeBound;
+  if (Records.ok() && (!Reader || Fresh))
+    this->peerRecords(*Records);
+  if (!Reader)
+    return;
+  if (Fresh) {
+    this->followStore(false);
+    return;
+  }
+  this->DirectUntil = this->Timer.now() + DirectFor;
+  this->followStore(true);
 }
 
 int EdgeDaemon::State::rank() const {
@@ -542,21 +624,13 @@
 
 void EdgeDaemon::State::servePeers(const HttpRequest &Request,
                                    const ResponderPtr &Answer) {
-  if (Request.Target != PeerRecordsPath) {
+  if (Request.Target.rfind(PeerRecordsPath, 0) != 0) {
     Answer->sendWhole(headOf(404), "", false);
     return;
   }
-  auto List = [](const std::map<std::string, std::string> &Texts) {
-    std::vector<StoreRecord> Out;
-    for (const auto &[Key, Text] : Texts)
-      Out.push_back({Key, Text});
-    return Out;
-  };
-  PeerRecords Records;
-  Records.Operators = List(this->OperatorTexts);
-  Records.States = List(this->StateTexts);
-  Records.Replicas = List(this->ReplicaTexts);
-  Records.ReplicasAge = this->Replicas->age();
+  PeerRecords Records = this->Book.since(markOf(Request.Target));
+  Records.Age = this->Replicas->age();
+  Records.StoreJustBack = this->storeJustBack();
   HttpHead Head = headOf(200);
   Head.Headers.emplace_back("Content-Type", "application/json");
   Answer->sendWhole(Head, encodePeerRecords(Records), false);
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -3,9 +3,9 @@
 #include "peer_link.h"
 
 #include "absl/strings/str_cat.h"
-#include "berylramp/json.h"
 #include "directory.h"
 #include <array>
+#include <cstdlib>
 
 namespace berylramp {
 
@@ -15,54 +15,22 @@
 
 constexpr size_t LongestDatagram = 2048;
 /// A peer answers from memory; longer means that it is gone or overloaded.
-constexpr absl::Duration FetchTime = absl::Seconds(1);
+constexpr absl::Duration FetchTime = absl::Milliseconds(600);
 
-Json::Value listOf(const std::vector<StoreRecord> &Records) {
-  Json::Value Out(Json::arrayValue);
-  for (const StoreRecord &Each : Records) {
-    Json::Value Row(Json::objectValue);
-    Row["key"] = Each.Key;
-    if (Each.Value)
-      Row["value"] = *Each.Value;
-    Out.append(Row);
-  }
-  return Out;
-}
-
-std::vector<StoreRecord> recordsOf(const Json::Value &List) {
-  std::vector<StoreRecord> Out;
-  for (const Json::Value &Row : List) {
-    StoreRecord Record;
-    Record.Key = textAt(Row, "key");
-    if (memberAt(Row, "value").isString())
-      Record.Value = textAt(Row, "value");
-    Out.push_back(std::move(Record));
-  }
-  return Out;
+int64_t numberAfter(const std::string &Text, const std::string &Name) {
+  size_t At = Text.find(Name + "=");
+  if (At == std::string::npos)
+    return 0;
+  return std::strtoll(Text.c_str() + At + Name.size() + 1, nullptr, 10);
 }
 
 } // namespace
 
-std::string encodePeerRecords(const PeerRecords &Records) {
-  Json::Value Out(Json::objectValue);
-  Out["operators"] = listOf(Records.Operators);
-  Out["states"] = listOf(Records.States);
-  Out["replicas"] = listOf(Records.Replicas);
-  Out["replicas_age_ms"] =
-      Json::Int64(absl::ToInt64Milliseconds(Records.ReplicasAge));
-  return writeJson(Out);
-}
-
-absl::StatusOr<PeerRecords> decodePeerRecords(const std::string &Text) {
-  absl::StatusOr<Json::Value> Top = parseJson(Text);
-  if (!Top.ok())
-    return Top.status();
-  PeerRecords Out;
-  Out.Operators = recordsOf(arrayAt(*Top, "operators"));
-  Out.States = recordsOf(arrayAt(*Top, "states"));
-  Out.Replicas = recordsOf(arrayAt(*Top, "replicas"));
-  Out.ReplicasAge = absl::Milliseconds(intAt(*Top, "replicas_age_ms"));
-  return Out;
+BookMark markOf(const std::string &Target) {
+  BookMark Mark;
+  Mark.Life = Incarnation(numberAfter(Target, "life"));
+  Mark.Sequence = numberAfter(Target, "sequence");
+  return Mark;
 }
 
 absl::Status PeerLink::open() {
@@ -87,7 +55,7 @@
 void PeerLink::close() {
   boost::system::error_code Ignored;
   this->Socket.close(Ignored);
-  this->Fetching.reset();
+  this->Fetcher.reset();
 }
 
 void PeerLink::spread() {
@@ -132,37 +100,41 @@
       });
 }
 
-void PeerLink::fetch(uint32_t Ip,
-                     std::function<void(const PeerRecords &)> Done) {
-  if (this->Fetching != nullptr || this->Facts.Peers.Port == 0)
-    return;
-  Endpoint To{ipText(Ip), this->Facts.Peers.Port};
-  this->Fetching = std::make_unique<HttpCaller>(this->Loop, this->Timer, To);
+bool PeerLink::fetch(uint32_t Ip,
+                     std::function<void(absl::StatusOr<PeerRecords>)> Done) {
+  if (this->Fetching || this->Facts.Peers.Port == 0)
+    return false;
+  if (this->FetchFrom != Ip || this->Fetcher == nullptr) {
+    Endpoint To{ipText(Ip), this->Facts.Peers.Port};
+    this->Fetcher = std::make_shared<HttpCaller>(this->Loop, this->Timer, To);
+    this->FetchFrom = Ip;
+    this->Mark = BookMark();
+  }
+  this->Fetching = true;
   OutgoingCall Call;
-  Call.Target = PeerRecordsPath;
+  Call.Target = absl::StrCat(PeerRecordsPath,
+                             "?life=", this->Mark.Life.count(),
+                             "&sequence=", this->Mark.Sequence);
   Call.Timeout = FetchTime;
   auto Weak = this->weak_from_this();
-  this->Fetching->call(
+  this->Fetcher->call(
       std::move(Call), [Weak, Done = std::move(Done),
-                        To](const absl::StatusOr<CallAnswer> &Answer) {
+                        Keep = this->Fetcher](
+                           const absl::StatusOr<CallAnswer> &Answer) {
         auto Self = Weak.lock();
         if (!Self)
           return;
-        // Not from within the caller's own call.
-        Self->Timer.after(absl::ZeroDuration(),
-                          [Self] { Self->Fetching.reset(); });
-        absl::StatusOr<PeerRecords> Records =
-            Answer.ok() && Answer->Status == 200
-                ? decodePeerRecords(Answer->Body)
-                : absl::UnavailableError("the peer did not answer");
-        Json::Value Line(Json::objectValue);
-        Line["peer"] = To.text();
-        Line["result"] =
-            Records.ok() ? "ok" : std::string(Records.status().message());
-        logEvent(LogLevel::Info, "peer_records", Line);
+        Self->Fetching = false;
+        if (!Answer.ok()) {
+          Done(Answer.status());
+          return;
+        }
+        absl::StatusOr<PeerRecords> Records = decodePeerRecords(Answer->Body);
         if (Records.ok())
-          Done(*Records);
+          Self->Mark = Records->Mark;
+        Done(std::move(Records));
       });
+  return true;
 }
 
 } // namespace berylramp
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -10,22 +10,11 @@
 
 #include "berylramp/edge.h"
 #include "berylramp/gossip.h"
+#include "record_book.h"
 #include <boost/asio/ip/udp.hpp>
 
 namespace berylramp {
 
-/// Records that one host hands to another.
-struct PeerRecords {
-  std::vector<StoreRecord> Operators;
-  std::vector<StoreRecord> States;
-  std::vector<StoreRecord> Replicas;
-  /// Time since the sender last read the replicas' entries from the store.
-  absl::Duration ReplicasAge;
-};
-
-std::string encodePeerRecords(const PeerRecords &Records);
-absl::StatusOr<PeerRecords> decodePeerRecords(const std::string &Text);
-
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
   PeerLink(boost::asio::io_context &Loop, LoopTimer &Timer, Metrics &Counters,
@@ -37,8 +26,10 @@
   void close();
   /// Sends this host's state to a few peers.
   void spread();
-  /// Asks one peer for its records. One request is under way at a time.
-  void fetch(uint32_t Ip, std::function<void(const PeerRecords &)> Done);
+  /// Asks a peer for the records that changed since it was asked last. One
+  /// request is under way at a time; false when one is.
+  bool fetch(uint32_t Ip,
+             std::function<void(absl::StatusOr<PeerRecords>)> Done);
 
 private:
   void receive();
@@ -50,12 +41,20 @@
   PeerView &View;
   int Targets;
   boost::asio::ip::udp::socket Socket;
-  std::unique_ptr<HttpCaller> Fetching;
+  /// The peer asked last, the connection to it and what it gave.
+  uint32_t FetchFrom = 0;
+  std::shared_ptr<HttpCaller> Fetcher;
+  BookMark Mark;
+  bool Fetching = false;
 };
 
-/// The path under which a host hands out its records.
+/// The path under which a host hands out its records, with the mark's life and
+/// sequence behind it.
 inline constexpr const char *PeerRecordsPath = "/peer/records";
 
+/// Reads the mark of "PATH?life=N&sequence=N"; an empty mark when it has none.
+BookMark markOf(const std::string &Target);
+
 } // namespace berylramp
 
 #endif // BERYLRAMP_EDGE_PEER_LINK_H
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -24,7 +24,20 @@
 
 } // namespace
 
+void StoreFollower::resume(bool Anew) {
+  if (!this->Paused)
+    return;
+  this->Paused = false;
+  if (this->Active)
+    return;
+  if (Anew || this->Next == NoOffset)
+    this->readNewest();
+  else
+    this->readOn();
+}
+
 void StoreFollower::readNewest() {
+  this->Active = true;
   this->Counters.count(Counter::LogReads);
   this->Store.Newest(this->Plan.Topic,
                      [Weak = this->weak_from_this()](
@@ -35,6 +48,7 @@
 }
 
 void StoreFollower::readOn() {
+  this->Active = true;
   this->Counters.count(Counter::LogReads);
   this->Store.Read(this->Plan.Topic, this->Next, this->Plan.Wait,
                    [Weak = this->weak_from_this()](
@@ -85,6 +99,9 @@
     auto Self = Weak.lock();
     if (!Self || Self->Stopped)
       return;
+    Self->Active = false;
+    if (Self->Paused)
+      return;
     if (Whole)
       Self->readNewest();
     else
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -31,6 +31,11 @@
 
   void start() { this->readNewest(); }
   void stop() { this->Stopped = true; }
+  /// Reads no more until resume(); a read under way is still heard.
+  void pause() { this->Paused = true; }
+  /// Reads on, from the newest records where \p Anew.
+  void resume(bool Anew);
+  bool paused() const { return this->Paused; }
   /// Where the topic ends as far as is known; NoOffset before the first read.
   Offset next() const { return this->Next; }
   /// False while reads fail.
@@ -57,6 +62,9 @@
   absl::Duration Backoff;
   bool Reachable = true;
   bool Stopped = false;
+  bool Paused = false;
+  /// A read or the pause before one is under way.
+  bool Active = false;
 };
 
 } // namespace berylramp
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -108,14 +108,11 @@
     this->evict(Id, Now);
 }
 
-void UpstreamRegistry::keepOnly(const std::vector<UpstreamId> &Kept,
-                                Instant Now, absl::Duration UsableFor) {
-  std::vector<UpstreamId> Missing;
+std::vector<UpstreamId> UpstreamRegistry::ids() const {
+  std::vector<UpstreamId> Out;
   for (const auto &[Text, Each] : this->ById)
-    if (!contains(Kept, Each->Entry.Id))
-      Missing.push_back(Each->Entry.Id);
-  for (const UpstreamId &Id : Missing)
-    this->remove(Id, Now, UsableFor);
+    Out.push_back(Each->Entry.Id);
+  return Out;
 }
 
 double UpstreamRegistry::loadOf(const Replica &Which, Instant Now) const {
