Choose engines by the expected time to the first token

Change: a replica's expected wait is what this host and, by datagram, the others of its data centre sent there; reading pace and slowness are learned; parts that an engine keeps count as read; the smaller models' requests prefer a fifth of the engines.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -216,6 +216,8 @@
       Judge;
   /// True once new requests must go to another host.
   std::function<bool()> RefusesNew;
+  /// Work was sent to a replica; tells hosts that use the same replicas.
+  std::function<void(const Replica &, absl::Duration Work)> SentWork;
   /// A replica was found to be another one.
   std::function<void(const UpstreamId &)> Misdirected;
 };
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -31,6 +31,17 @@
   int64_t ElapsedMs = 0;
 };
 
+/// Work that a host sent to a replica that others use too.
+struct WorkNote {
+  /// Hash of the replica's id.
+  uint64_t Replica = 0;
+  int64_t WorkMs = 0;
+};
+
+std::string encodeWork(const WorkNote &Note);
+/// False when the bytes hold no note.
+bool decodeWork(const std::string &Datagram, WorkNote &Out);
+
 /// What a host says of itself. All hosts use the same ports, so its IPv4
 /// address names it.
 struct PeerState {
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -47,15 +47,51 @@
   Instant At;
 };
 
+/// One part of a prompt. Requests with the same part share its text.
+struct PromptPart {
+  uint64_t Id = 0;
+  int64_t Tokens = 0;
+};
+
+/// The parts that an engine read lately and probably still keeps.
+class PartMemory {
+public:
+  bool holds(uint64_t Id) const;
+  void note(uint64_t Id);
+
+private:
+  std::vector<uint64_t> Ring;
+  size_t Next = 0;
+};
+
+/// How long engines take to read a token of a prompt, learned from the time to
+/// the first byte of answers.
+class ReadingPace {
+public:
+  /// Milliseconds a token.
+  double msPerToken() const { return this->Pace; }
+  /// An answer's first byte came \p Ms after \p Tokens were sent.
+  void learn(int64_t Tokens, double Ms);
+
+private:
+  /// An engine's nominal pace; within a few dozen answers it is learned.
+  double Pace = 0.02;
+};
+
+/// Tokens as if attention took no time: its cost grows with the square of the
+/// prompt's length.
+double effectiveTokens(int64_t Tokens);
+
 /// A replica with all that this host knows of it.
 struct Replica {
   ReplicaEntry Entry;
   /// The entry is gone from the store.
   bool Removed = false;
   Instant RemovedAt;
-  /// Requests of this host under way, and their tokens.
+  /// Hash of the id, by which hosts name the replica to each other.
+  uint64_t IdHash = 0;
+  /// Requests of this host under way.
   int InFlight = 0;
-  int64_t TokensInFlight = 0;
   ReportedLoad Load;
   /// Requests of this host that began after the last report.
   int SentSinceReport = 0;
@@ -68,6 +104,11 @@
   int Ejections = 0;
   /// Said "full" recently.
   Instant FullUntil;
+  /// When the prompts that were sent to it should be read.
+  Instant BusyUntil;
+  /// Time that it takes, in times of what was expected.
+  double Slowness = 1;
+  PartMemory Parts;
 };
 
 using ReplicaPtr = std::shared_ptr<Replica>;
@@ -99,21 +140,42 @@
 struct ChoiceQuery {
   ServiceId Service;
   VersionRule Rule;
-  /// Requests with equal keys prefer the same replica; 0 has no preference.
-  uint64_t AffinityKey = 0;
-  int64_t PromptTokens = 0;
+  /// The prompt's parts in order; empty for a plain service.
+  std::vector<PromptPart> Parts;
+  /// Milliseconds that the model takes to read a token.
+  double MsPerToken = 0;
+  /// Part of a data centre's replicas, from 0 to 1, to prefer.
+  double PartFrom = 0;
+  double PartTo = 1;
   /// Replicas that this request has already been sent to.
   std::vector<UpstreamId> Tried;
   Instant Now;
 };
 
-/// How the choice weighs things; all loads in requests over slots.
+/// A replica and what a request would meet there.
+struct Choice {
+  ReplicaPtr To;
+  /// Time until the prompts sent before are read.
+  absl::Duration Wait;
+  /// Time to read this prompt.
+  absl::Duration Work;
+};
+
+/// How the choice weighs things.
 struct ChoiceSettings {
   PlaceId OwnPlace;
-  /// Load by which a replica elsewhere must be lower to be preferred.
+  /// Load, in requests over slots, by which a replica elsewhere must be lower
+  /// to be preferred.
   double RemotePenalty = 0.35;
-  /// Load above which an affinity key moves on to its next replica.
-  double AffinityBound = 0.55;
+  /// Time by which an engine elsewhere must be earlier to be preferred: the
+  /// way there and back, the price of the bytes, and work that this host does
+  /// not hear of.
+  absl::Duration RemoteTime = absl::Milliseconds(400);
+  /// Weight of reading a part again that another replica keeps, in times of
+  /// the time that it takes.
+  double RereadWeight = 2;
+  /// Time that a stream under way adds to a new one.
+  absl::Duration StreamTime = absl::Milliseconds(8);
   /// Hosts that are assumed to send as much as this one does.
   int HostsSharing = 1;
 };
@@ -152,16 +214,21 @@
   void evict(const UpstreamId &Id, Instant Now);
   /// Drops removed replicas that nothing uses any more.
   void sweep(Instant Now);
-  /// The best replica for \p Query, or null.
-  ReplicaPtr choose(const ChoiceQuery &Query) const;
+  /// The best replica for \p Query; its replica is null when there is none.
+  Choice choose(const ChoiceQuery &Query) const;
   /// Whether a replica of the service has room for another request.
   bool hasRoom(const ChoiceQuery &Query) const;
   /// Requests over slots at the replicas that fit the query.
   double utilization(const ChoiceQuery &Query) const;
 
-  void began(Replica &Which, int64_t PromptTokens) const;
-  void ended(Replica &Which, int64_t PromptTokens, Outcome How,
-             Instant Now) const;
+  void began(const Choice &Which, const ChoiceQuery &Query) const;
+  /// The first byte came \p Took after the request was sent.
+  void firstByte(const Choice &Which, absl::Duration Took, Instant Now) const;
+  /// The request was given up before its first byte.
+  void withdrawn(const Choice &Which, Instant Now) const;
+  /// Another host sent work to the replica with the hash \p IdHash.
+  void workElsewhere(uint64_t IdHash, absl::Duration Work, Instant Now) const;
+  void ended(Replica &Which, Outcome How, Instant Now) const;
   void reported(Replica &Which, const ReportedLoad &Load) const;
 
   void setHostsSharing(int Count) { this->Settings.HostsSharing = Count; }
@@ -174,6 +241,9 @@
   double loadOf(const Replica &Which, Instant Now) const;
   std::vector<ReplicaPtr> candidates(const ChoiceQuery &Query) const;
   void eject(Replica &Which, Instant Now) const;
+  Choice chooseEngine(const ChoiceQuery &Query,
+                      const std::vector<ReplicaPtr> &Fit) const;
+  Choice expected(const ReplicaPtr &Which, const ChoiceQuery &Query) const;
 
   ChoiceSettings Settings;
   absl::flat_hash_map<std::string, ReplicaPtr> ById;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -35,6 +35,9 @@
 /// Records older than this at the host that reads for the region have this
 /// host read the store itself: two reads that failed.
 constexpr absl::Duration ReaderAgeBound = absl::Milliseconds(1300);
+/// Work of at least this long is told to the hosts of the data centre: shorter
+/// prompts delay others by less than the words about them would cost.
+constexpr absl::Duration WorkToTell = absl::Milliseconds(80);
 /// After a reader failed, how long this host reads the store itself.
 constexpr absl::Duration DirectFor = absl::Seconds(4);
 /// A step of the boot clock against the steady clock that shows a pause.
@@ -186,6 +189,10 @@
     return this->Leaving && this->Timer.now() - this->LeavingSince >
                                 this->Settings.ServeNewFor;
   };
+  Hooks.SentWork = [this](const Replica &To, absl::Duration Work) {
+    if (Work >= WorkToTell)
+      this->Link->tellWork({To.IdHash, absl::ToInt64Milliseconds(Work)});
+  };
   Hooks.Misdirected = [this](const UpstreamId &Id) {
     Json::Value Line(Json::objectValue);
     Line["replica"] = Id.text();
@@ -254,6 +261,10 @@
                                           this->Counters, this->Facts,
                                           this->Peers,
                                           this->Settings.GossipTargets);
+  this->Link->OnWork = [this](const WorkNote &Note) {
+    this->Registry.workElsewhere(
+        Note.Replica, absl::Milliseconds(Note.WorkMs), this->Timer.now());
+  };
   for (const Endpoint &Seed : this->Facts.Seeds)
     this->Peers.introduce(parseIp(Seed.Ip), this->Timer.now());
   absl::Status Opened = this->Link->open();
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -77,6 +77,23 @@
   this->Counters.count(Counter::PeerExchanges);
 }
 
+void PeerLink::tellWork(const WorkNote &Note) {
+  std::string Datagram = encodeWork(Note);
+  for (const Peer *Each : this->View.live(this->Timer.now())) {
+    if (Each->State.Place != this->Facts.Place)
+      continue;
+    boost::system::error_code Error;
+    udp::endpoint To(boost::asio::ip::address_v4(Each->State.Ip),
+                     static_cast<uint16_t>(this->Facts.GossipPort));
+    this->Socket.send_to(boost::asio::buffer(Datagram), To, 0, Error);
+    if (Error)
+      this->Counters.count(Counter::PeerExchangeFailures);
+    else
+      this->Counters.count(Counter::PeerBytesSent,
+                           static_cast<int64_t>(Datagram.size()));
+  }
+}
+
 void PeerLink::receive() {
   auto Self = this->shared_from_this();
   this->Socket.async_wait(
@@ -92,8 +109,11 @@
             break;
           Self->Counters.count(Counter::PeerBytesReceived,
                                static_cast<int64_t>(Count));
-          if (!Self->View.merge(std::string(Bytes.data(), Count),
-                                Self->Timer.now()))
+          std::string Datagram(Bytes.data(), Count);
+          WorkNote Note;
+          if (decodeWork(Datagram, Note))
+            Self->OnWork(Note);
+          else if (!Self->View.merge(Datagram, Self->Timer.now()))
             Self->Counters.count(Counter::PeerExchangeFailures);
         }
         Self->receive();
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -26,6 +26,10 @@
   void close();
   /// Sends this host's state to a few peers.
   void spread();
+  /// Tells the hosts of this data centre about work sent to a replica.
+  void tellWork(const WorkNote &Note);
+  /// Called for each such word of a peer.
+  std::function<void(const WorkNote &)> OnWork;
   /// Asks a peer for the records that changed since it was asked last. One
   /// request is under way at a time; false when one is.
   bool fetch(uint32_t Ip,
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -37,6 +37,8 @@
   ExchangeHooks Hooks;
   UpstreamPool Pool;
   std::map<ServiceId, RetryBudget> Budgets;
+  /// By service and model.
+  std::map<std::pair<ServiceId, ModelId>, ReadingPace> Paces;
   std::unordered_set<std::shared_ptr<Relay>> Active;
 };
 
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -118,11 +118,12 @@
     Facts.OutputTokens = Two.size() > 1 ? numberOf(Two[1]) : 0;
   }
   if (const std::string *Parts = findHeader(From.Headers, Names.PromptParts)) {
-    std::vector<absl::string_view> Each = absl::StrSplit(*Parts, ',');
-    if (Each.size() >= 2) {
-      absl::string_view Shared = Each[Each.size() - 2];
-      Facts.SharedPart =
-          stableHash(std::string(Shared.substr(0, Shared.find(':'))));
+    for (absl::string_view Each : absl::StrSplit(*Parts, ',')) {
+      size_t Colon = Each.find(':');
+      if (Colon == absl::string_view::npos)
+        continue;
+      Facts.Parts.push_back({stableHash(std::string(Each.substr(0, Colon))),
+                             numberOf(Each.substr(Colon + 1))});
     }
   }
   return Facts;
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -41,8 +41,7 @@
 struct PromptFacts {
   int64_t PromptTokens = 0;
   int64_t OutputTokens = 0;
-  /// Hash of the last part that other requests share; 0 when there is none.
-  uint64_t SharedPart = 0;
+  std::vector<PromptPart> Parts;
 };
 
 PromptFacts promptFacts(const HttpRequest &From, const HeaderNames &Names);
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -31,6 +31,9 @@
 /// Silence before the first byte, in targets, after which another replica is
 /// tried, where that is allowed.
 constexpr double SilentTargets = 2.5;
+/// Part of a data centre's replicas that answers with the smaller models, so
+/// that the largest one's long steps do not delay their short ones.
+constexpr double SmallModelPart = 0.2;
 /// Tries, sent or not, before a request is given up.
 constexpr int MostTries = 6;
 
@@ -98,6 +101,7 @@
   }
 
   ReplicaPtr To;
+  Choice Expected;
   std::weak_ptr<Relay> Owner;
   boost::asio::steady_timer Clock;
   UpstreamConnectionPtr Wire;
@@ -227,10 +231,24 @@
   ChoiceQuery Out;
   Out.Service = this->Service;
   Out.Rule = this->Rule;
-  Out.AffinityKey = this->Prompt.SharedPart;
-  Out.PromptTokens = this->Prompt.PromptTokens;
+  if (this->Which->EventStream) {
+    Out.Parts = this->Prompt.Parts;
+    // Engines keep a part for each model by itself.
+    uint64_t Model = stableHash(this->modelOfAttempt().text());
+    for (PromptPart &Part : Out.Parts)
+      Part.Id ^= Model;
+    auto Pace = this->Core.Paces.find({this->Service, this->modelOfAttempt()});
+    Out.MsPerToken = Pace == this->Core.Paces.end()
+                         ? ReadingPace().msPerToken()
+                         : Pace->second.msPerToken();
+  }
   Out.Tried = this->Tried;
   Out.Now = this->now();
+  bool Small = this->ModelIndex + 1 < this->Models.CostPerThousand.size();
+  if (this->ChoosesModel && Small)
+    Out.PartTo = SmallModelPart;
+  else if (this->ChoosesModel)
+    Out.PartFrom = SmallModelPart;
   return Out;
 }
 
@@ -253,14 +271,16 @@
     this->giveUp(RefusalKind::UpstreamFailed, "no attempt is left");
     return;
   }
-  ReplicaPtr To = this->Core.Registry.choose(this->query());
-  if (To == nullptr && this->Tries > 0) {
+  ChoiceQuery Query = this->query();
+  Choice Chosen = this->Core.Registry.choose(Query);
+  if (Chosen.To == nullptr && this->Tries > 0) {
     // Every replica was tried: one that was full or lost the connection may
     // serve by now.
     this->Tried.clear();
-    To = this->Core.Registry.choose(this->query());
+    Query.Tried.clear();
+    Chosen = this->Core.Registry.choose(Query);
   }
-  if (To == nullptr) {
+  if (Chosen.To == nullptr) {
     this->giveUp(RefusalKind::NoReplica, "no replica is known");
     return;
   }
@@ -277,10 +297,15 @@
     this->giveUp(RefusalKind::UpstreamFailed, "the retry budget is used up");
     return;
   }
-  this->send(To);
+  this->send(Chosen, Query);
+}
+
+ReadingPace &Relay::pace() {
+  return this->Core.Paces[{this->Service, this->modelOfAttempt()}];
 }
 
-void Relay::send(const ReplicaPtr &To) {
+void Relay::send(const Choice &Chosen, const ChoiceQuery &Query) {
+  const ReplicaPtr &To = Chosen.To;
   const RelayCore &Core = this->Core;
   Instant Now = this->now();
   this->Tries += 1;
@@ -309,7 +334,10 @@
   bool Silences = MayKeep && this->AttemptsSent + 1 < this->Which->MaxAttempts;
   Made->FirstByteWithin =
       Silences ? this->Which->Target * SilentTargets : absl::ZeroDuration();
-  this->Core.Registry.began(*To, this->Prompt.PromptTokens);
+  Made->Expected = Chosen;
+  this->Core.Registry.began(Chosen, Query);
+  if (Chosen.Work > absl::ZeroDuration())
+    this->Core.Hooks.SentWork(*To, Chosen.Work);
   this->AttemptsSent += 1;
   this->Ledger.handedOver();
   Made->WaitsForConnect = New;
@@ -326,6 +354,10 @@
   Instant Now = this->now();
   From.Head = Head;
   From.FirstByte = true;
+  this->Core.Registry.firstByte(From.Expected, Now - From.SentAt, Now);
+  if (Head.Status == 200 && this->Which->EventStream)
+    this->pace().learn(this->Prompt.PromptTokens,
+                       absl::ToDoubleMilliseconds(Now - From.SentAt));
   ReportedLoad Load;
   const std::string *Text = findHeader(Head.Headers, Names.ReplicaLoad);
   if (Text != nullptr && parseLoad(*Text, Load)) {
@@ -407,8 +439,13 @@
   }
   if (Out.empty())
     return;
+  if (this->StreamBegun)
+    this->LongestPause = std::max(this->LongestPause,
+                                  this->now() - this->LastEventAt);
+  this->LastEventAt = this->now();
   if (!this->StreamBegun) {
     this->StreamBegun = true;
+    this->FirstEventAfter = this->now() - this->Request.ArrivedAt;
     this->Core.Counters.observe(Latency::FirstToken,
                                 this->now() - this->Request.ArrivedAt);
     this->judge(From, true);
@@ -429,8 +466,7 @@
     return;
   }
   this->Core.Pool.give(From.To->Entry.Id, From.Wire, this->now());
-  this->Core.Registry.ended(*From.To, this->Prompt.PromptTokens, Outcome::Good,
-                            this->now());
+  this->Core.Registry.ended(*From.To, Outcome::Good, this->now());
   this->Current.reset();
   this->Core.Counters.count(Counter::AnswersStreamed);
   this->Answer->endStream();
@@ -452,9 +488,8 @@
   }
   auto Hold = From.shared_from_this();
   this->Core.Pool.give(From.To->Entry.Id, From.Wire, this->now());
-  this->Core.Registry.ended(*From.To, this->Prompt.PromptTokens,
-                            Good ? Outcome::Good : Outcome::Failed,
-                            this->now());
+  this->Core.Registry.ended(
+      *From.To, Good ? Outcome::Good : Outcome::Failed, this->now());
   this->Current.reset();
   this->Core.Counters.count(Counter::AnswersWhole);
   this->Answer->sendWhole(relayedHead(From.Head), From.Body, false);
@@ -511,8 +546,9 @@
   this->Current.reset();
   Over->Clock.cancel();
   Over->Wire->cancel();
-  this->Core.Registry.ended(*Over->To, this->Prompt.PromptTokens, How,
-                            this->now());
+  if (!Over->FirstByte)
+    this->Core.Registry.withdrawn(Over->Expected, this->now());
+  this->Core.Registry.ended(*Over->To, How, this->now());
 }
 
 void Relay::giveUp(RefusalKind Kind, const std::string &Detail) {
@@ -607,8 +643,14 @@
   if (const std::string *Session = findHeader(
           this->Request.Headers, this->Core.Settings.Names.Session))
     Line["session"] = *Session;
-  if (this->Order.any())
+  if (this->StreamBegun) {
     Line["last_event"] = Json::Int64(this->Order.last());
+    Line["first_ms"] =
+        Json::Int64(absl::ToInt64Milliseconds(this->FirstEventAfter));
+    Line["pause_ms"] =
+        Json::Int64(absl::ToInt64Milliseconds(this->LongestPause));
+    Line["prompt"] = Json::Int64(this->Prompt.PromptTokens);
+  }
   if (!Why.empty())
     Line["why"] = Why;
   logEvent(LogLevel::Info, "request_done", Line);
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -32,7 +32,8 @@
   bool admit();
   void describe();
   void next();
-  void send(const ReplicaPtr &To);
+  void send(const Choice &Chosen, const ChoiceQuery &Query);
+  ReadingPace &pace();
   ChoiceQuery query() const;
   ModelId modelOfAttempt() const;
   bool maySecond() const;
@@ -81,6 +82,9 @@
   int Tries = 0;
   EventOrder Order;
   bool StreamBegun = false;
+  Instant LastEventAt;
+  absl::Duration FirstEventAfter;
+  absl::Duration LongestPause;
   bool BudgetTaken = false;
   bool Done = false;
 };
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -18,6 +18,8 @@
 
 /// Marks the layout; a datagram of another layout is ignored.
 constexpr int LayoutVersion = 1;
+/// Marks a datagram with a note of work.
+constexpr int WorkLayout = 101;
 /// Fits one Ethernet frame with its headers.
 constexpr size_t MostBytes = 1350;
 /// A peer that nothing was heard of for this long does not count as live;
@@ -109,6 +111,32 @@
 
 } // namespace
 
+std::string encodeWork(const WorkNote &Note) {
+  msgpack::sbuffer Bytes;
+  Packer Out(Bytes);
+  Out.pack_array(3);
+  Out.pack(WorkLayout);
+  Out.pack(Note.Replica);
+  Out.pack(Note.WorkMs);
+  return {Bytes.data(), Bytes.size()};
+}
+
+bool decodeWork(const std::string &Datagram, WorkNote &Out) {
+  try {
+    msgpack::object_handle Handle =
+        msgpack::unpack(Datagram.data(), Datagram.size());
+    const msgpack::object *Fields = listOf(Handle.get(), 3);
+    if (Fields[0].as<int>() != WorkLayout)
+      return false;
+    Out.Replica = Fields[1].as<uint64_t>();
+    Out.WorkMs = Fields[2].as<int64_t>();
+    return true;
+  } catch (const std::exception &) {
+    // Another kind of datagram; the caller tries the next one.
+    return false;
+  }
+}
+
 std::string PeerView::encode(Instant Now) {
   this->Self.Beat += 1;
   std::vector<const Peer *> Others = this->live(Now);
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -1,16 +1,17 @@
 //===- upstreams.cpp - Replicas and the choice of one ---------------------===//
 //
-// A replica's report is old when it arrives and other hosts read the same one.
-// So the estimate adds what this host sent since, requests with a shared prompt
-// rank replicas by a hash instead of all picking the emptiest, and the others
-// compare two random replicas.
+// An engine reads one prompt after another, and a long one stalls every stream
+// beside it. So engines are compared by the time at which a request's first
+// token is expected: what was sent there before, by this host and by the others
+// of its data centre, and the parts of this prompt that are not kept there.
+// Plain services are compared by their reported load and what was sent since.
 //
 //===----------------------------------------------------------------------===//
 
 #include "berylramp/upstreams.h"
 
-#include "absl/strings/str_cat.h"
 #include <algorithm>
+#include <functional>
 
 namespace berylramp {
 
@@ -45,12 +46,83 @@
   return Rule.ToTarget == (Version == Rule.Target);
 }
 
-uint64_t rank(uint64_t Key, const Replica &Which) {
-  return stableHash(absl::StrCat(Key, "/", Which.Entry.Id.text()));
+/// Parts that an engine is assumed to keep; the least recently used yield.
+constexpr size_t PartsRemembered = 96;
+/// Prompt length, in tokens, at which attention takes as long as the rest.
+constexpr double AttentionDoublesAt = 60000;
+/// Shorter prompts say little about the pace, as the first step dominates.
+constexpr int64_t TokensToLearn = 1500;
+/// Step of the pace towards a sample, and the quantile that it settles at:
+/// waiting makes samples too long, cached parts too short.
+constexpr double PaceStep = 0.04;
+constexpr double PaceQuantile = 0.3;
+/// Weight of the newest answer in a replica's slowness, and its bounds.
+constexpr double SlownessWeight = 0.06;
+constexpr double LeastSlowness = 0.7;
+constexpr double MostSlowness = 8;
+/// Answers quicker than this are dominated by the network.
+constexpr double ShortestExpectedMs = 40;
+
+/// The replicas of \p Group that belong to the part that \p Query prefers, or
+/// all of them when none does.
+std::vector<ReplicaPtr> partOf(std::vector<ReplicaPtr> Group,
+                               const ChoiceQuery &Query) {
+  if (Query.PartFrom <= 0 && Query.PartTo >= 1)
+    return Group;
+  std::sort(Group.begin(), Group.end(),
+            [](const ReplicaPtr &A, const ReplicaPtr &B) {
+              return A->Entry.Id < B->Entry.Id;
+            });
+  std::vector<ReplicaPtr> Part;
+  for (size_t Index = 0; Index < Group.size(); ++Index) {
+    double At = (static_cast<double>(Index) + 0.5) /
+                static_cast<double>(Group.size());
+    if (At >= Query.PartFrom && At < Query.PartTo)
+      Part.push_back(Group[Index]);
+  }
+  return Part.empty() ? Group : Part;
+}
+
+/// Mixes two hashes into one.
+uint64_t mixed(uint64_t A, uint64_t B) {
+  constexpr uint64_t Odd = 0x9E3779B97F4A7C15ULL;
+  uint64_t Out = (A ^ (B + Odd + (A << 6) + (A >> 2))) * Odd;
+  return Out ^ (Out >> 29);
 }
 
+double msOf(absl::Duration Time) { return absl::ToDoubleMilliseconds(Time); }
+
 } // namespace
 
+bool PartMemory::holds(uint64_t Id) const {
+  return std::find(this->Ring.begin(), this->Ring.end(), Id) !=
+         this->Ring.end();
+}
+
+void PartMemory::note(uint64_t Id) {
+  if (this->holds(Id))
+    return;
+  if (this->Ring.size() < PartsRemembered) {
+    this->Ring.push_back(Id);
+    return;
+  }
+  this->Ring[this->Next] = Id;
+  this->Next = (this->Next + 1) % PartsRemembered;
+}
+
+void ReadingPace::learn(int64_t Tokens, double Ms) {
+  if (Tokens < TokensToLearn)
+    return;
+  double Sample = Ms / effectiveTokens(Tokens);
+  double Step = Sample < this->Pace ? PaceQuantile - 1 : PaceQuantile;
+  this->Pace *= 1 + PaceStep * Step;
+}
+
+double effectiveTokens(int64_t Tokens) {
+  auto Count = static_cast<double>(Tokens);
+  return Count * (1 + Count / AttentionDoublesAt);
+}
+
 void RetryBudget::firstAttempt() {
   this->Saved = std::min(this->Most, this->Saved + this->Ratio);
 }
@@ -73,6 +145,7 @@
   }
   if (Slot == nullptr) {
     Slot = std::make_shared<Replica>();
+    Slot->IdHash = stableHash(Entry.Id.text());
     this->ByService[Entry.Service.text()].push_back(Slot);
   }
   Slot->Entry = Entry;
@@ -145,41 +218,78 @@
   return Fit.empty() ? Left : Fit;
 }
 
-ReplicaPtr UpstreamRegistry::choose(const ChoiceQuery &Query) const {
+Choice UpstreamRegistry::choose(const ChoiceQuery &Query) const {
   std::vector<ReplicaPtr> Fit = this->candidates(Query);
   if (Fit.empty())
-    return nullptr;
+    return {};
+  if (!Query.Parts.empty())
+    return this->chooseEngine(Query, Fit);
   auto Cost = [&](const Replica &Which) {
     bool Remote = Which.Entry.Place != this->Settings.OwnPlace;
     return this->loadOf(Which, Query.Now) +
            (Remote ? this->Settings.RemotePenalty : 0);
   };
-  auto Cheapest = [&](const std::vector<ReplicaPtr> &Group) {
-    return *std::min_element(
-        Group.begin(), Group.end(),
-        [&](const ReplicaPtr &A, const ReplicaPtr &B) {
-          return Cost(*A) < Cost(*B);
-        });
-  };
-  ReplicaPtr Least = Cheapest(Fit);
-  if (Query.AffinityKey == 0)
-    return Least;
+  Choice Out;
+  Out.To = *std::min_element(Fit.begin(), Fit.end(),
+                             [&](const ReplicaPtr &A, const ReplicaPtr &B) {
+                               return Cost(*A) < Cost(*B);
+                             });
+  return Out;
+}
+
+Choice UpstreamRegistry::expected(const ReplicaPtr &Which,
+                                  const ChoiceQuery &Query) const {
+  int64_t Unread = 0;
+  bool Kept = true;
+  for (size_t Index = 0; Index < Query.Parts.size(); ++Index) {
+    const PromptPart &Part = Query.Parts[Index];
+    // A part is of use only behind the parts before it.
+    Kept = Kept && Index + 1 < Query.Parts.size() &&
+           Which->Parts.holds(Part.Id);
+    if (!Kept)
+      Unread += Part.Tokens;
+  }
+  Choice Out;
+  Out.To = Which;
+  Out.Work = absl::Milliseconds(effectiveTokens(Unread) * Query.MsPerToken *
+                                Which->Slowness);
+  Out.Wait = std::max(absl::ZeroDuration(), Which->BusyUntil - Query.Now);
+  return Out;
+}
+
+Choice UpstreamRegistry::chooseEngine(const ChoiceQuery &Query,
+                                      const std::vector<ReplicaPtr> &Fit) const {
   std::vector<ReplicaPtr> Near;
   for (const ReplicaPtr &Each : Fit)
     if (Each->Entry.Place == this->Settings.OwnPlace)
       Near.push_back(Each);
-  if (Near.empty())
-    Near = Fit;
-  std::sort(Near.begin(), Near.end(),
-            [&](const ReplicaPtr &A, const ReplicaPtr &B) {
-              return rank(Query.AffinityKey, *A) < rank(Query.AffinityKey, *B);
-            });
-  double Bound = std::max(this->Settings.AffinityBound,
-                          this->loadOf(*Least, Query.Now) * 1.5);
+  Near = partOf(Near, Query);
+  // Hosts that know nothing of a shared part agree on who gets it first.
+  uint64_t Shared =
+      Query.Parts.size() > 1 ? Query.Parts[Query.Parts.size() - 2].Id : 0;
+  uint64_t Home = 0;
   for (const ReplicaPtr &Each : Near)
-    if (this->loadOf(*Each, Query.Now) < Bound)
-      return Each;
-  return Least;
+    Home = std::max(Home, mixed(Shared, Each->IdHash));
+  Choice Best;
+  double BestMs = 0;
+  for (const ReplicaPtr &Each : Fit) {
+    Choice Here = this->expected(Each, Query);
+    bool Remote = Each->Entry.Place != this->Settings.OwnPlace;
+    bool Preferred =
+        Remote || std::find(Near.begin(), Near.end(), Each) != Near.end();
+    double Reads = this->Settings.RereadWeight;
+    if (Shared != 0 && !Remote && mixed(Shared, Each->IdHash) == Home)
+      Reads = 0;
+    double Ms = msOf(Here.Wait) + msOf(Here.Work) * (1 + Reads) +
+                msOf(this->Settings.StreamTime) * Each->InFlight;
+    if (Remote || !Preferred)
+      Ms += msOf(this->Settings.RemoteTime);
+    if (Best.To == nullptr || Ms < BestMs) {
+      Best = Here;
+      BestMs = Ms;
+    }
+  }
+  return Best;
 }
 
 bool UpstreamRegistry::hasRoom(const ChoiceQuery &Query) const {
@@ -200,10 +310,44 @@
   return Sum / static_cast<double>(Fit.size());
 }
 
-void UpstreamRegistry::began(Replica &Which, int64_t PromptTokens) const {
-  Which.InFlight += 1;
-  Which.TokensInFlight += PromptTokens;
-  Which.SentSinceReport += 1;
+void UpstreamRegistry::began(const Choice &Which,
+                             const ChoiceQuery &Query) const {
+  Replica &To = *Which.To;
+  To.InFlight += 1;
+  To.SentSinceReport += 1;
+  To.BusyUntil = std::max(To.BusyUntil, Query.Now, std::less<>()) + Which.Work;
+  for (const PromptPart &Part : Query.Parts)
+    To.Parts.note(Part.Id);
+}
+
+void UpstreamRegistry::firstByte(const Choice &Which, absl::Duration Took,
+                                 Instant Now) const {
+  Replica &From = *Which.To;
+  double Expected = msOf(Which.Wait + Which.Work);
+  if (Expected < ShortestExpectedMs)
+    return;
+  double Ratio = msOf(Took) / Expected;
+  From.Slowness += SlownessWeight * (Ratio - 1) * From.Slowness;
+  From.Slowness = std::clamp(From.Slowness, LeastSlowness, MostSlowness);
+  // What came before this request is read by now.
+  absl::Duration Late = Took - (Which.Wait + Which.Work);
+  From.BusyUntil = From.BusyUntil + Late;
+  if (From.BusyUntil < Now)
+    From.BusyUntil = Now;
+}
+
+void UpstreamRegistry::withdrawn(const Choice &Which, Instant Now) const {
+  Replica &From = *Which.To;
+  From.BusyUntil = Instant{From.BusyUntil.SinceStart - Which.Work};
+  if (From.BusyUntil < Now)
+    From.BusyUntil = Now;
+}
+
+void UpstreamRegistry::workElsewhere(uint64_t IdHash, absl::Duration Work,
+                                     Instant Now) const {
+  for (const auto &[Text, Each] : this->ById)
+    if (Each->IdHash == IdHash)
+      Each->BusyUntil = std::max(Each->BusyUntil, Now, std::less<>()) + Work;
 }
 
 void UpstreamRegistry::eject(Replica &Which, Instant Now) const {
@@ -226,10 +370,9 @@
   Which.FailingShare = 0;
 }
 
-void UpstreamRegistry::ended(Replica &Which, int64_t PromptTokens, Outcome How,
+void UpstreamRegistry::ended(Replica &Which, Outcome How,
                              Instant Now) const {
   Which.InFlight -= 1;
-  Which.TokensInFlight -= PromptTokens;
   if (How == Outcome::Neutral || How == Outcome::Misdirected)
     return;
   if (How == Outcome::Full) {
