--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -33,7 +33,7 @@
 constexpr double SilentTargets = 2.5;
 /// Part of a data centre's replicas that answers with the smaller models, so
 /// that the largest one's long steps do not delay their short ones.
-constexpr double SmallModelPart = 0.2;
+constexpr double SmallModelPart = 0.3;
 /// Tries, sent or not, before a request is given up.
 constexpr int MostTries = 6;
 
