Keep plain requests near, and weigh distance by region

Cause: with no fresh report a replica's load was taken as this host's requests times all hosts, so that one request on 77 hosts made the near replica look full and orders went across regions.

--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -164,6 +164,10 @@
 /// How the choice weighs things.
 struct ChoiceSettings {
   PlaceId OwnPlace;
+  /// Other data centres of the own region, and how far they are; those of
+  /// other regions are at distance 1.
+  std::vector<PlaceId> SameRegion;
+  double RegionDistance = 0.25;
   /// Load, in requests over slots, by which a replica elsewhere must be lower
   /// to be preferred.
   double RemotePenalty = 0.35;
@@ -176,8 +180,6 @@
   double RereadWeight = 2;
   /// Time that a stream under way adds to a new one.
   absl::Duration StreamTime = absl::Milliseconds(8);
-  /// Hosts that are assumed to send as much as this one does.
-  int HostsSharing = 1;
 };
 
 /// Bounds second attempts by the first ones. Every host keeps its own budget,
@@ -231,7 +233,6 @@
   void ended(Replica &Which, Outcome How, Instant Now) const;
   void reported(Replica &Which, const ReportedLoad &Load) const;
 
-  void setHostsSharing(int Count) { this->Settings.HostsSharing = Count; }
   size_t size() const { return this->ById.size(); }
   std::vector<UpstreamId> ids() const;
   std::vector<ReplicaPtr> replicasOf(const ServiceId &Service) const;
@@ -243,6 +244,7 @@
   void eject(Replica &Which, Instant Now) const;
   Choice chooseEngine(const ChoiceQuery &Query,
                       const std::vector<ReplicaPtr> &Fit) const;
+  double distance(const Replica &Which) const;
   Choice expected(const ReplicaPtr &Which, const ChoiceQuery &Query) const;
 
   ChoiceSettings Settings;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -86,6 +86,9 @@
   ChoiceSettings choiceSettings() const {
     ChoiceSettings Out;
     Out.OwnPlace = this->Facts.Place;
+    for (const auto &[Place, Region] : this->Facts.Regions)
+      if (Region == this->Facts.Region && Place != this->Facts.Place)
+        Out.SameRegion.push_back(Place);
     return Out;
   }
 
@@ -478,7 +481,6 @@
   this->Peers.self().Ready = this->ready();
   this->Peers.self().Leaving = this->Leaving;
   size_t Hosts = this->Peers.live(this->Timer.now()).size() + 1;
-  this->Registry.setHostsSharing(static_cast<int>(Hosts));
   this->Relays->setRetrySlack(std::max(
       1.0, this->Facts.Bounds.RetrySlack * SlackPart /
                static_cast<double>(Hosts)));
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -195,7 +195,7 @@
     double Reported = Which.Load.Running + Which.Load.Waiting;
     return std::max(Own, Reported + Which.SentSinceReport) / Slots;
   }
-  return Own * this->Settings.HostsSharing / Slots;
+  return Own / Slots;
 }
 
 std::vector<ReplicaPtr>
@@ -225,9 +225,8 @@
   if (!Query.Parts.empty())
     return this->chooseEngine(Query, Fit);
   auto Cost = [&](const Replica &Which) {
-    bool Remote = Which.Entry.Place != this->Settings.OwnPlace;
     return this->loadOf(Which, Query.Now) +
-           (Remote ? this->Settings.RemotePenalty : 0);
+           this->distance(Which) * this->Settings.RemotePenalty;
   };
   Choice Out;
   Out.To = *std::min_element(Fit.begin(), Fit.end(),
@@ -237,6 +236,15 @@
   return Out;
 }
 
+double UpstreamRegistry::distance(const Replica &Which) const {
+  const PlaceId &Place = Which.Entry.Place;
+  if (Place == this->Settings.OwnPlace)
+    return 0;
+  const std::vector<PlaceId> &Near = this->Settings.SameRegion;
+  bool InRegion = std::find(Near.begin(), Near.end(), Place) != Near.end();
+  return InRegion ? this->Settings.RegionDistance : 1;
+}
+
 Choice UpstreamRegistry::expected(const ReplicaPtr &Which,
                                   const ChoiceQuery &Query) const {
   int64_t Unread = 0;
@@ -282,8 +290,8 @@
       Reads = 0;
     double Ms = msOf(Here.Wait) + msOf(Here.Work) * (1 + Reads) +
                 msOf(this->Settings.StreamTime) * Each->InFlight;
-    if (Remote || !Preferred)
-      Ms += msOf(this->Settings.RemoteTime);
+    double Away = Preferred ? this->distance(*Each) : 1;
+    Ms += msOf(this->Settings.RemoteTime) * Away;
     if (Best.To == nullptr || Ms < BestMs) {
       Best = Here;
       BestMs = Ms;
