--- a/include/berylramp/cascade.h
+++ b/include/berylramp/cascade.h
@@ -23,6 +23,8 @@
   int64_t OutputTokens = 0;
   /// Attempts that may still be made, this one included.
   int AttemptsLeft = 1;
+  /// The larger model's answer would come after the route's target.
+  bool LargerIsLate = false;
 };
 
 struct CascadeSettings {
@@ -31,6 +33,8 @@
   double MostProbeCost = 0.15;
   /// Confidence, 0 to 100, from which a smaller model's answer is kept.
   int KeepFrom = 44;
+  /// The same when the larger model's answer would be late.
+  int KeepLateFrom = 25;
 };
 
 /// The index of the model for the first attempt.
--- a/src/cascade/cascade.cpp
+++ b/src/cascade/cascade.cpp
@@ -29,7 +29,8 @@
                  size_t Index, int Confidence) {
   if (Index + 1 >= Query.CostPerThousand.size())
     return true;
-  return Confidence >= Settings.KeepFrom || Query.AttemptsLeft <= 1;
+  int From = Query.LargerIsLate ? Settings.KeepLateFrom : Settings.KeepFrom;
+  return Confidence >= From || Query.AttemptsLeft <= 1;
 }
 
 } // namespace berylramp
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -398,6 +398,15 @@
   From.Streams = Success && this->Which->EventStream;
 }
 
+bool Relay::largerIsLate() {
+  size_t Present = this->ModelIndex;
+  this->ModelIndex = nextModel(this->Models, Present);
+  Choice Larger = this->Core.Registry.choose(this->query());
+  this->ModelIndex = Present;
+  absl::Duration Elapsed = this->now() - this->Request.ArrivedAt;
+  return Elapsed + Larger.Wait + Larger.Work > this->Which->Target;
+}
+
 bool Relay::tooUnsure(const HttpHead &Head) {
   if (!this->ChoosesModel || this->Order.any() || this->StreamBegun)
     return false;
@@ -408,6 +417,7 @@
     return false;
   CascadeQuery Query = this->Models;
   Query.AttemptsLeft = this->Which->MaxAttempts - this->AttemptsSent + 1;
+  Query.LargerIsLate = this->largerIsLate();
   bool Unsure = !keepsAnswer(Query, this->Core.Settings.Cascade,
                              this->ModelIndex, Confidence);
   if (!Unsure || !this->maySecond())
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -47,6 +47,7 @@
   void passEvents(Attempt &From, const std::string &Part);
   void passWhole(Attempt &From);
   bool tooUnsure(const HttpHead &Head);
+  bool largerIsLate();
   void giveUp(RefusalKind Kind, const std::string &Detail);
   void refuse(RefusalKind Kind, const std::string &Detail,
               absl::Duration RetryAfter);
