Split the relay and the daemon by what they do, and test the platform's path

They found: a host's first 250 ms had a retry budget of 1 although 5 is its share; a replica failing half of its requests was left out only after 20.

--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -192,7 +192,8 @@
       : Ratio(Ratio), Most(Most), Saved(Most) {}
 
   void firstAttempt();
-  void setMost(double Count) { this->Most = Count; }
+  /// Changes what may be saved up; a larger bound is granted at once.
+  void setMost(double Count);
   /// Takes one second attempt out of the budget; false when it is empty.
   bool take();
 
--- /dev/null
+++ b/src/edge/edge_peers.cpp
@@ -0,0 +1,121 @@
+//===- edge_peers.cpp - Which source of records a host uses ---------------===//
+//
+// One host of a region reads the store for the others. A host reads the store
+// itself while that one is silent or behind, and asks any peer while the store
+// does not serve it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "edge_state.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "berylramp/json.h"
+#include <algorithm>
+#include <ctime>
+
+namespace berylramp {
+
+namespace {
+
+/// A peer's newer table, or a store that fails, for this long has this host
+/// ask a peer.
+constexpr absl::Duration AskPeerAfter = absl::Milliseconds(600);
+constexpr absl::Duration StoreAwayAfter = absl::Milliseconds(1500);
+/// Records older than this at the host that reads for the region have this
+/// host read the store itself: two reads that failed.
+constexpr absl::Duration ReaderAgeBound = absl::Milliseconds(1300);
+/// After a reader failed, how long this host reads the store itself.
+constexpr absl::Duration DirectFor = absl::Seconds(4);
+
+} // namespace
+
+uint32_t EdgeDaemon::State::readerOfRegion() const {
+  uint32_t Reader = this->Peers.self().Ip;
+  for (const Peer *Each : this->Peers.live(this->Timer.now())) {
+    auto Region = this->Facts.Regions.find(Each->State.Place);
+    bool Near = Region != this->Facts.Regions.end() &&
+                Region->second == this->Facts.Region;
+    if (Near && !Each->State.Leaving && Each->State.Ready)
+      Reader = std::min(Reader, Each->State.Ip);
+  }
+  return Reader;
+}
+
+void EdgeDaemon::State::followStore(bool Direct) {
+  if (Direct == !this->Replicas->paused())
+    return;
+  Json::Value Line(Json::objectValue);
+  Line["from"] = Direct ? "store" : "peer";
+  Line["reader"] = ipText(this->readerOfRegion());
+  logEvent(LogLevel::Info, "record_source", Line);
+  for (const auto &Each : {this->Operators, this->States, this->Replicas}) {
+    if (Direct)
+      Each->resume(Each == this->Replicas);
+    else
+      Each->pause();
+  }
+}
+
+bool EdgeDaemon::State::needsPeer() const {
+  bool Away =
+      !this->Replicas->reachable() && this->Replicas->age() > StoreAwayAfter;
+  return Away || this->Timer.now() - this->NewerTableSince > AskPeerAfter;
+}
+
+void EdgeDaemon::State::askPeer() {
+  Instant Now = this->Timer.now();
+  TableVersion Own = this->Table ? this->Table->Version : NoTable;
+  std::vector<uint32_t> Newer;
+  std::vector<uint32_t> Any;
+  for (const Peer *Each : this->Peers.live(Now)) {
+    Any.push_back(Each->State.Ip);
+    if (Each->State.Table > Own)
+      Newer.push_back(Each->State.Ip);
+  }
+  if (Newer.empty())
+    this->NewerTableSince = Now;
+  uint32_t Reader = this->readerOfRegion();
+  bool Direct = Reader == this->Peers.self().Ip || !this->ready() ||
+                this->Leaving || Now < this->DirectUntil;
+  if (Direct)
+    this->followStore(true);
+  bool FromReader = !Direct;
+  if (Direct && !this->needsPeer())
+    return;
+  const std::vector<uint32_t> &From = Newer.empty() ? Any : Newer;
+  if (!FromReader && From.empty())
+    return;
+  uint32_t Asked = FromReader ? Reader : From[randomDraw() % From.size()];
+  auto Weak = this->weak_from_this();
+  this->Link->fetch(
+      Asked, [Weak, FromReader](const absl::StatusOr<PeerRecords> &Records) {
+        if (auto Self = Weak.lock())
+          Self->tookPeer(Records, FromReader);
+      });
+}
+
+void EdgeDaemon::State::tookPeer(const absl::StatusOr<PeerRecords> &Records,
+                                 bool Reader) {
+  bool Fresh = Records.ok() && Records->Age < ReaderAgeBound;
+  if (Records.ok() && (!Reader || Fresh))
+    this->peerRecords(*Records);
+  if (!Reader)
+    return;
+  if (Fresh) {
+    this->followStore(false);
+    return;
+  }
+  this->DirectUntil = this->Timer.now() + DirectFor;
+  this->followStore(true);
+}
+
+int EdgeDaemon::State::rank() const {
+  int Before = 0;
+  for (const Peer *Each : this->Peers.live(this->Timer.now()))
+    if (Each->State.Ip < this->Peers.self().Ip && !Each->State.Leaving)
+      Before += 1;
+  return Before;
+}
+
+} // namespace berylramp
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -43,10 +43,10 @@
         udp::endpoint(Address, static_cast<uint16_t>(this->Facts.GossipPort)),
         Error);
   if (Error)
-    return absl::UnavailableError(absl::StrCat(
-        "the datagram port ", this->Facts.GossipPort,
-        " cannot be opened: ", Error.message(),
-        "; free it or name another one in the settings file"));
+    return absl::UnavailableError(
+        absl::StrCat("the datagram port ", this->Facts.GossipPort,
+                     " cannot be opened: ", Error.message(),
+                     "; free it or name another one in the settings file"));
   this->Socket.non_blocking(true, Error);
   this->receive();
   return absl::OkStatus();
@@ -132,14 +132,12 @@
   }
   this->Fetching = true;
   OutgoingCall Call;
-  Call.Target = absl::StrCat(PeerRecordsPath,
-                             "?life=", this->Mark.Life.count(),
+  Call.Target = absl::StrCat(PeerRecordsPath, "?life=", this->Mark.Life.count(),
                              "&sequence=", this->Mark.Sequence);
   Call.Timeout = FetchTime;
   auto Weak = this->weak_from_this();
   this->Fetcher->call(
-      std::move(Call), [Weak, Done = std::move(Done),
-                        Keep = this->Fetcher](
+      std::move(Call), [Weak, Done = std::move(Done), Keep = this->Fetcher](
                            const absl::StatusOr<CallAnswer> &Answer) {
         auto Self = Weak.lock();
         if (!Self)
--- a/src/edge/rollout_desk.cpp
+++ b/src/edge/rollout_desk.cpp
@@ -45,8 +45,8 @@
     return;
   Which = Entry();
   Which.Order = Order;
-  Which.Id = stableHash(
-      absl::StrCat(Order.Service.text(), "/", Order.Target.text()));
+  Which.Id =
+      stableHash(absl::StrCat(Order.Service.text(), "/", Order.Target.text()));
   Which.SeenAt = this->Outside.Now();
   Which.WantedSince = Which.SeenAt;
   logEvent(LogLevel::Info, "rollout_ordered", lineOf(Order));
@@ -100,10 +100,10 @@
   // The share changes at a set time, not at a tick, so that no session meets
   // hosts before and after the change.
   absl::Duration Elapsed = this->Outside.Now() - Which.SeenAt;
-  double Share = Which.State == RolloutState::Complete
-                     ? 1
-                     : nextStep(Which.Order, Which.Canary, Which.Seen, Elapsed)
-                           .Share;
+  double Share =
+      Which.State == RolloutState::Complete
+          ? 1
+          : nextStep(Which.Order, Which.Canary, Which.Seen, Elapsed).Share;
   // Without another version the roll-out ended, whatever was recorded.
   Rule.ToTarget = Draw < Share || Others == 0;
   return Rule;
@@ -117,8 +117,7 @@
 
 void RolloutDesk::step(Entry &Which, const PeerView &Peers) {
   absl::Duration Elapsed = this->Outside.Now() - Which.SeenAt;
-  RolloutEvidence Seen =
-      Peers.evidence(Which.Id, this->Outside.Now(), Elapsed);
+  RolloutEvidence Seen = Peers.evidence(Which.Id, this->Outside.Now(), Elapsed);
   // A host that started late learns the order's age from its peers.
   Instant Began{this->Outside.Now().SinceStart - Elapsed};
   if (Began < Which.SeenAt)
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -39,23 +39,23 @@
 void StoreFollower::readNewest() {
   this->Active = true;
   this->Counters.count(Counter::LogReads);
-  this->Store.Newest(this->Plan.Topic,
-                     [Weak = this->weak_from_this()](
-                         const absl::StatusOr<StorePage> &Page) {
-                       if (auto Self = Weak.lock())
-                         Self->took(Page, true);
-                     });
+  this->Store.Newest(
+      this->Plan.Topic,
+      [Weak = this->weak_from_this()](const absl::StatusOr<StorePage> &Page) {
+        if (auto Self = Weak.lock())
+          Self->took(Page, true);
+      });
 }
 
 void StoreFollower::readOn() {
   this->Active = true;
   this->Counters.count(Counter::LogReads);
-  this->Store.Read(this->Plan.Topic, this->Next, this->Plan.Wait,
-                   [Weak = this->weak_from_this()](
-                       const absl::StatusOr<StorePage> &Page) {
-                     if (auto Self = Weak.lock())
-                       Self->took(Page, false);
-                   });
+  this->Store.Read(
+      this->Plan.Topic, this->Next, this->Plan.Wait,
+      [Weak = this->weak_from_this()](const absl::StatusOr<StorePage> &Page) {
+        if (auto Self = Weak.lock())
+          Self->took(Page, false);
+      });
 }
 
 void StoreFollower::took(const absl::StatusOr<StorePage> &Page, bool Whole) {
@@ -74,8 +74,7 @@
       logEvent(LogLevel::Warn, "store_lost", Line);
     }
     this->Reachable = false;
-    this->Backoff =
-        std::clamp(this->Backoff * 2, FirstBackoff, LongestBackoff);
+    this->Backoff = std::clamp(this->Backoff * 2, FirstBackoff, LongestBackoff);
     if (absl::IsResourceExhausted(Page.status()))
       this->Backoff = std::max(this->Backoff, RefusedPause);
     this->again(this->Backoff * jitter(), Whole);
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -12,9 +12,9 @@
 class Relay;
 
 struct RelayCore {
-  RelayCore(boost::asio::io_context &Loop, TimerService &Timer, Metrics &Counters,
-       UpstreamRegistry &Registry, ExchangeSettings Settings,
-       ExchangeHooks Hooks)
+  RelayCore(boost::asio::io_context &Loop, TimerService &Timer,
+            Metrics &Counters, UpstreamRegistry &Registry,
+            ExchangeSettings Settings, ExchangeHooks Hooks)
       : Loop(Loop), Timer(Timer), Counters(Counters), Registry(Registry),
         Settings(std::move(Settings)), Hooks(std::move(Hooks)),
         Pool(this->Settings.KeepIdle) {}
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 /// The fields that a Connection field names; they concern one connection.
-std::vector<std::string> namedByConnection(
-    const std::vector<HeaderField> &Fields) {
+std::vector<std::string>
+namedByConnection(const std::vector<HeaderField> &Fields) {
   std::vector<std::string> Names;
   for (const HeaderField &Each : Fields) {
     if (!absl::EqualsIgnoreCase(Each.first, "Connection"))
--- a/src/exchange/http_parse.cpp
+++ b/src/exchange/http_parse.cpp
@@ -38,9 +38,8 @@
   ParseFault Fault = ParseFault::None;
   while (Used < Bytes.size() && !To.is_done()) {
     boost::system::error_code Error;
-    size_t Taken = To.put(boost::asio::buffer(Bytes.data() + Used,
-                                              Bytes.size() - Used),
-                          Error);
+    size_t Taken = To.put(
+        boost::asio::buffer(Bytes.data() + Used, Bytes.size() - Used), Error);
     Used += Taken;
     Fault = faultOf(Error);
     if (Fault != ParseFault::None || (Error && Taken == 0))
@@ -61,9 +60,15 @@
   return Out;
 }
 
-constexpr std::array<absl::string_view, 9> HopByHop = {
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
-    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"};
+constexpr std::array<absl::string_view, 9> HopByHop = {"connection",
+                                                       "keep-alive",
+                                                       "proxy-authenticate",
+                                                       "proxy-authorization",
+                                                       "proxy-connection",
+                                                       "te",
+                                                       "trailer",
+                                                       "transfer-encoding",
+                                                       "upgrade"};
 
 } // namespace
 
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -89,8 +89,7 @@
     TimerService *Timer = nullptr;
   };
 
-  CallerConnection(boost::asio::io_context &Loop, tcp::socket Socket,
-                   Owner Up)
+  CallerConnection(boost::asio::io_context &Loop, tcp::socket Socket, Owner Up)
       : Wire(std::make_shared<Channel>(std::move(Socket))), Clock(Loop),
         Up(std::move(Up)) {}
 
@@ -151,8 +150,8 @@
   void sendPart(std::string Part) override {
     if (!this->Busy || Part.empty())
       return;
-    this->Wire->send(absl::StrCat(absl::Hex(Part.size()), "\r\n", Part,
-                                  "\r\n"));
+    this->Wire->send(
+        absl::StrCat(absl::Hex(Part.size()), "\r\n", Part, "\r\n"));
     if (this->Wire->unsent() > MostUnsent)
       this->abort();
   }
@@ -309,31 +308,31 @@
 
 void HttpListener::State::accept() {
   auto Self = this->shared_from_this();
-  this->Acceptor.async_accept([Self](const boost::system::error_code &Error,
-                                     tcp::socket Socket) {
-    if (!Self->Acceptor.is_open())
-      return;
-    if (!Error) {
-      CallerConnection::Owner Up;
-      Up.Limits = Self->Limits;
-      Up.Handler = Self->Handler;
-      Up.Timer = &Self->Timer;
-      std::weak_ptr<State> Weak = Self;
-      Up.Leaving = [Weak] {
-        auto Held = Weak.lock();
-        return !Held || Held->Leaving;
-      };
-      Up.Forget = [Weak](const std::shared_ptr<ChannelUser> &Which) {
-        if (auto Held = Weak.lock())
-          Held->Connections.erase(Which);
-      };
-      auto Made = std::make_shared<CallerConnection>(
-          Self->Loop, std::move(Socket), std::move(Up));
-      Self->Connections.insert(Made);
-      Made->start();
-    }
-    Self->accept();
-  });
+  this->Acceptor.async_accept(
+      [Self](const boost::system::error_code &Error, tcp::socket Socket) {
+        if (!Self->Acceptor.is_open())
+          return;
+        if (!Error) {
+          CallerConnection::Owner Up;
+          Up.Limits = Self->Limits;
+          Up.Handler = Self->Handler;
+          Up.Timer = &Self->Timer;
+          std::weak_ptr<State> Weak = Self;
+          Up.Leaving = [Weak] {
+            auto Held = Weak.lock();
+            return !Held || Held->Leaving;
+          };
+          Up.Forget = [Weak](const std::shared_ptr<ChannelUser> &Which) {
+            if (auto Held = Weak.lock())
+              Held->Connections.erase(Which);
+          };
+          auto Made = std::make_shared<CallerConnection>(
+              Self->Loop, std::move(Socket), std::move(Up));
+          Self->Connections.insert(Made);
+          Made->start();
+        }
+        Self->accept();
+      });
 }
 
 HttpListener::HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
@@ -344,14 +343,16 @@
   this->Shared->Handler = std::move(Handler);
 }
 
+// NOLINTNEXTLINE(bugprone-exception-escape): copies of handlers may throw
+// only when memory is gone.
 HttpListener::~HttpListener() { this->close(); }
 
 absl::Status HttpListener::listen(const Endpoint &At) {
   boost::system::error_code Error;
   auto Fail = [&](const char *What) {
-    return absl::UnavailableError(absl::StrCat(
-        What, " ", At.text(), " failed: ", Error.message(),
-        "; free the address or correct it in the settings file"));
+    return absl::UnavailableError(
+        absl::StrCat(What, " ", At.text(), " failed: ", Error.message(),
+                     "; free the address or correct it in the settings file"));
   };
   auto Address = boost::asio::ip::make_address_v4(At.Ip, Error);
   if (Error)
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -8,14 +8,21 @@
 #ifndef BERYLRAMP_EXCHANGE_RELAY_H
 #define BERYLRAMP_EXCHANGE_RELAY_H
 
+#include "attempt.h"
 #include "core.h"
-#include "events.h"
 #include "forwarding.h"
 #include "run_ledger.h"
 
 namespace berylramp {
 
-class Relay : public std::enable_shared_from_this<Relay> {
+/// When a refused caller should come back: after the time in which a busy
+/// engine ends a request, a restarted host reads its table or a lost replica is
+/// replaced, or at once at another host.
+inline constexpr absl::Duration BackWhenBusy = absl::Milliseconds(700);
+inline constexpr absl::Duration BackWhenStarting = absl::Milliseconds(500);
+inline constexpr absl::Duration BackElsewhere = absl::Milliseconds(50);
+
+class Relay : public AttemptOwner, public std::enable_shared_from_this<Relay> {
 public:
   Relay(std::shared_ptr<void> Keep, RelayCore &Core, HttpRequest Request,
         ResponderPtr Answer);
@@ -24,10 +31,13 @@
   /// Ends the request without a whole answer.
   void abort(const char *Why);
 
-private:
-  friend class Attempt;
-  class Attempt;
+  void headArrived(Attempt &From, const HttpHead &Head) override;
+  void bodyArrived(Attempt &From, const std::string &Part) override;
+  void ended(Attempt &From) override;
+  void failed(Attempt &From, RetryReason Reason, Outcome How,
+              bool Sent) override;
 
+private:
   /// Finds route and workspace; false when the request was answered.
   bool admit();
   void describe();
@@ -38,10 +48,6 @@
   ModelId modelOfAttempt() const;
   bool maySecond() const;
 
-  void headArrived(Attempt &From, const HttpHead &Head);
-  void bodyArrived(Attempt &From, std::string Part);
-  void ended(Attempt &From);
-  void failed(Attempt &From, RetryReason Reason, Outcome How, bool Sent);
   void rejected(Attempt &From, Outcome How);
 
   void passEvents(Attempt &From, const std::string &Part);
--- a/src/observe/log_queue.cpp
+++ b/src/observe/log_queue.cpp
@@ -40,8 +40,8 @@
 void writeAll(const std::string &Text) {
   size_t Written = 0;
   while (Written < Text.size()) {
-    ssize_t Count = ::write(STDOUT_FILENO, Text.data() + Written,
-                            Text.size() - Written);
+    ssize_t Count =
+        ::write(STDOUT_FILENO, Text.data() + Written, Text.size() - Written);
     if (Count < 0 && errno == EINTR)
       continue;
     // Nobody reads the log any more; there is no other place to say so.
@@ -98,8 +98,7 @@
     bool Last = false;
     {
       MutexLock Hold(&this->Lock);
-      this->Lock.await(
-          [this] { return this->Ending || !this->Lines.empty(); });
+      this->Lock.await([this] { return this->Ending || !this->Lines.empty(); });
       this->Lock.awaitFor([this] { return this->Ending; }, GatherFor);
       Taken.swap(this->Lines);
       std::swap(TakenLost, this->Lost);
@@ -111,8 +110,7 @@
   }
 }
 
-void LogQueue::write(const std::vector<std::string> &Taken,
-                     int64_t TakenLost) {
+void LogQueue::write(const std::vector<std::string> &Taken, int64_t TakenLost) {
   std::string Text;
   for (const std::string &Line : Taken)
     Text += Line + "\n";
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -70,8 +70,8 @@
 }
 
 double canaryShare(const ExposureBounds &Bounds, size_t Replicas) {
-  double Share = CanaryReplicas / static_cast<double>(std::max<size_t>(
-                                      Replicas, 1));
+  double Share =
+      CanaryReplicas / static_cast<double>(std::max<size_t>(Replicas, 1));
   return std::min(Share, Bounds.Share * CanaryPart);
 }
 
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -69,10 +69,9 @@
 absl::StatusOr<HostFacts> readFacts(const std::string &Path) {
   std::ifstream File(Path);
   if (!File)
-    return absl::NotFoundError(
-        "the settings file '" + Path +
-        "' cannot be read; name it with --settings or " +
-        platform::SettingsVariable);
+    return absl::NotFoundError("the settings file '" + Path +
+                               "' cannot be read; name it with --settings or " +
+                               platform::SettingsVariable);
   std::ostringstream Text;
   Text << File.rdbuf();
   return platform::decodeSettings(Text.str());
@@ -170,10 +169,9 @@
     absl::StatusOr<HostFacts> Read = readFacts(this->Chosen.SettingsPath);
     Json::Value Line(Json::objectValue);
     Line["why"] = Why;
-    Line["result"] =
-        Read.ok() ? "ok"
-                  : "the old settings stay: " +
-                        std::string(Read.status().message());
+    Line["result"] = Read.ok() ? "ok"
+                               : "the old settings stay: " +
+                                     std::string(Read.status().message());
     logEvent(Read.ok() ? LogLevel::Info : LogLevel::Error, "reloaded", Line);
     if (Read.ok())
       this->Daemon.reload(*Read);
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -32,7 +32,7 @@
 constexpr int64_t OutcomesToJudge = 8;
 /// A replica is an outlier when its failing share exceeds the service's mean
 /// by this margin.
-constexpr double OutlierMargin = 0.25;
+constexpr double OutlierMargin = 0.2;
 /// Never leave out more than this part of a service.
 constexpr double MostEjected = 0.5;
 
@@ -75,8 +75,8 @@
             });
   std::vector<ReplicaPtr> Part;
   for (size_t Index = 0; Index < Group.size(); ++Index) {
-    double At = (static_cast<double>(Index) + 0.5) /
-                static_cast<double>(Group.size());
+    double At =
+        (static_cast<double>(Index) + 0.5) / static_cast<double>(Group.size());
     if (At >= Query.PartFrom && At < Query.PartTo)
       Part.push_back(Group[Index]);
   }
@@ -127,6 +127,12 @@
   this->Saved = std::min(this->Most, this->Saved + this->Ratio);
 }
 
+void RetryBudget::setMost(double Count) {
+  this->Saved += std::max(0.0, Count - this->Most);
+  this->Most = Count;
+  this->Saved = std::min(this->Saved, this->Most);
+}
+
 bool RetryBudget::take() {
   if (this->Saved < 1)
     return false;
@@ -211,8 +217,7 @@
         !allows(Query.Rule, Each->Entry.Version) ||
         contains(Query.Tried, Each->Entry.Id))
       continue;
-    bool Out =
-        Query.Now < Each->EjectedUntil || Query.Now < Each->FullUntil;
+    bool Out = Query.Now < Each->EjectedUntil || Query.Now < Each->FullUntil;
     (Out ? Left : Fit).push_back(Each);
   }
   return Fit.empty() ? Left : Fit;
@@ -252,8 +257,8 @@
   for (size_t Index = 0; Index < Query.Parts.size(); ++Index) {
     const PromptPart &Part = Query.Parts[Index];
     // A part is of use only behind the parts before it.
-    Kept = Kept && Index + 1 < Query.Parts.size() &&
-           Which->Parts.holds(Part.Id);
+    Kept =
+        Kept && Index + 1 < Query.Parts.size() && Which->Parts.holds(Part.Id);
     if (!Kept)
       Unread += Part.Tokens;
   }
@@ -265,8 +270,9 @@
   return Out;
 }
 
-Choice UpstreamRegistry::chooseEngine(const ChoiceQuery &Query,
-                                      const std::vector<ReplicaPtr> &Fit) const {
+Choice
+UpstreamRegistry::chooseEngine(const ChoiceQuery &Query,
+                               const std::vector<ReplicaPtr> &Fit) const {
   std::vector<ReplicaPtr> Near;
   for (const ReplicaPtr &Each : Fit)
     if (Each->Entry.Place == this->Settings.OwnPlace)
@@ -302,8 +308,7 @@
 
 bool UpstreamRegistry::hasRoom(const ChoiceQuery &Query) const {
   for (const ReplicaPtr &Each : this->candidates(Query))
-    if (!(Query.Now < Each->FullUntil) &&
-        this->loadOf(*Each, Query.Now) < 1.0)
+    if (!(Query.Now < Each->FullUntil) && this->loadOf(*Each, Query.Now) < 1.0)
       return true;
   return false;
 }
@@ -378,8 +383,7 @@
   Which.FailingShare = 0;
 }
 
-void UpstreamRegistry::ended(Replica &Which, Outcome How,
-                             Instant Now) const {
+void UpstreamRegistry::ended(Replica &Which, Outcome How, Instant Now) const {
   Which.InFlight -= 1;
   if (How == Outcome::Neutral || How == Outcome::Misdirected)
     return;
--- /dev/null
+++ b/test/exchange_test.cpp
@@ -0,0 +1,209 @@
+//===- exchange_test.cpp - Bytes, events and the run ledger ---------------===//
+
+#include "events.h"
+#include "forwarding.h"
+#include "http_parse.h"
+#include "run_ledger.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "platform.h"
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace berylramp;
+
+TEST_CASE("Events are cut the same however their bytes arrive") {
+  rc::prop("for any split", [] {
+    std::string Whole;
+    auto Texts = *rc::gen::container<std::vector<std::string>>(
+        4, rc::gen::nonEmpty(
+               rc::gen::container<std::string>(rc::gen::inRange('a', 'z'))));
+    for (size_t Index = 0; Index < Texts.size(); ++Index)
+      absl::StrAppend(&Whole, "id: ", Index + 1, "\ndata: ", Texts[Index],
+                      "\n\n");
+    EventSplitter Splitter;
+    std::vector<StreamEvent> Found;
+    size_t At = 0;
+    while (At < Whole.size()) {
+      auto Step = static_cast<size_t>(*rc::gen::inRange(1, 20));
+      for (StreamEvent &Each : Splitter.feed(Whole.substr(At, Step)))
+        Found.push_back(Each);
+      At += Step;
+    }
+    RC_ASSERT(Found.size() == Texts.size());
+    std::string Joined;
+    for (size_t Index = 0; Index < Found.size(); ++Index) {
+      RC_ASSERT(Found[Index].Id == static_cast<int64_t>(Index) + 1);
+      Joined += Found[Index].Bytes;
+    }
+    RC_ASSERT(Joined == Whole);
+    RC_ASSERT(!Splitter.midEvent());
+  });
+}
+
+TEST_CASE("Events with other line ends and fields are kept whole") {
+  EventSplitter Splitter;
+  auto Found = Splitter.feed("weights: 3\r\nid: 4\r\ndata: x\r\n\r\nid");
+  REQUIRE(Found.size() == 1);
+  CHECK(Found[0].Id == 4);
+  CHECK(Splitter.midEvent());
+}
+
+TEST_CASE("An event that misses or repeats is noticed") {
+  EventOrder Order(3);
+  CHECK(Order.judge(3) == EventOrder::Verdict::Repeated);
+  CHECK(Order.judge(4) == EventOrder::Verdict::Next);
+  CHECK(Order.judge(6) == EventOrder::Verdict::Gap);
+  CHECK(Order.last() == 4);
+}
+
+TEST_CASE("No order of events makes a request that may run once run twice") {
+  rc::prop("over any interleaving", [] {
+    RunLedger Ledger(Repeat::AtMostOnce);
+    int MayRun = 0;
+    bool Pending = false;
+    for (int Event :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4))) {
+      if (Event == 0 && Ledger.mayRepeat()) {
+        Ledger.handedOver();
+        MayRun += 1;
+        Pending = true;
+      } else if (Event == 1 && Pending) {
+        Ledger.rejected();
+        MayRun -= 1;
+        Pending = false;
+      } else if (Event == 2 && Pending) {
+        Ledger.neverSent();
+        MayRun -= 1;
+        Pending = false;
+      }
+      RC_ASSERT(MayRun <= 1);
+      RC_ASSERT(Ledger.provablyNotRun() == (MayRun == 0));
+    }
+  });
+}
+
+TEST_CASE("A request is parsed the same however its bytes arrive") {
+  rc::prop("for any split", [] {
+    auto Body = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+    std::string Whole = absl::StrCat(
+        "POST /a?b HTTP/1.1\r\nHost: h\r\nX-Y: z\r\nContent-Length: ",
+        Body.size(), "\r\n\r\n", Body, "NEXT");
+    RequestParser Parser{CallerLimits()};
+    std::string Buffer;
+    size_t At = 0;
+    while (At < Whole.size() && !Parser.done()) {
+      auto Step = static_cast<size_t>(*rc::gen::inRange(1, 30));
+      Buffer += Whole.substr(At, Step);
+      At += Step;
+      RC_ASSERT(Parser.feed(Buffer) == ParseFault::None);
+    }
+    RC_ASSERT(Parser.done());
+    HttpRequest Request = Parser.take();
+    RC_ASSERT(Request.Body == Body);
+    RC_ASSERT(Request.Target == "/a?b");
+  });
+}
+
+TEST_CASE("An answer that ends early is not complete") {
+  AnswerParser Parser(false);
+  std::string Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
+  REQUIRE(Parser.feed(Bytes) == ParseFault::None);
+  CHECK_FALSE(Parser.done());
+  CHECK_FALSE(Parser.finishAtEof());
+  AnswerParser Chunked(false);
+  Bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+  REQUIRE(Chunked.feed(Bytes) == ParseFault::None);
+  CHECK_FALSE(Chunked.finishAtEof());
+}
+
+TEST_CASE("An answer without a length ends with its connection") {
+  AnswerParser Parser(false);
+  std::string Bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
+  REQUIRE(Parser.feed(Bytes) == ParseFault::None);
+  CHECK_FALSE(Parser.done());
+  CHECK(Parser.finishAtEof());
+  CHECK(Parser.takeBody() == "abc");
+}
+
+TEST_CASE("Bytes behind an answer are left over") {
+  AnswerParser Parser(false);
+  std::string Bytes =
+      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n";
+  REQUIRE(Parser.feed(Bytes) == ParseFault::None);
+  CHECK(Parser.done());
+  CHECK(absl::StartsWith(Bytes, "HTTP"));
+}
+
+TEST_CASE("Any bytes are an answer or a fault, never a crash") {
+  rc::prop("for any bytes", [] {
+    AnswerParser Parser(false);
+    auto Bytes = *rc::gen::arbitrary<std::string>();
+    std::string Buffer = Bytes;
+    Parser.feed(Buffer);
+    RequestParser Request{CallerLimits()};
+    Buffer = Bytes;
+    Request.feed(Buffer);
+    RC_SUCCEED("parsed");
+  });
+}
+
+TEST_CASE("What is forwarded carries the system's fields only once") {
+  HttpRequest From;
+  From.Method = "POST";
+  From.Target = "/a/b?c";
+  From.Body = "body";
+  From.Headers = {{"Host", "h"},
+                  {"Connection", "X-Drop"},
+                  {"X-Drop", "1"},
+                  {"Authorization", "Token secret"},
+                  {"Berylramp-Tenant", "forged"},
+                  {"Berylramp-Deadline-Ms", "999999"},
+                  {"Kv-From", "1.2.3.4:5/x"},
+                  {"Berylramp-Prefix-Hash", "a:1"},
+                  {"Content-Length", "4"}};
+  ForwardFacts Facts;
+  Facts.DeadlineMs = 70;
+  Facts.Expect = UpstreamId("i-1");
+  Facts.Workspace = WorkspaceId("w");
+  std::string Out = forwardedRequest(From, platform::headerNames(), Facts);
+  CHECK(absl::StartsWith(Out, "POST /a/b?c HTTP/1.1\r\n"));
+  CHECK(absl::StrContains(Out, "Berylramp-Tenant: w\r\n"));
+  CHECK(absl::StrContains(Out, "Berylramp-Deadline-Ms: 70\r\n"));
+  CHECK(absl::StrContains(Out, "Berylramp-Prefix-Hash: a:1\r\n"));
+  CHECK(absl::EndsWith(Out, "\r\n\r\nbody"));
+  for (const char *Absent :
+       {"secret", "forged", "999999", "Kv-From", "X-Drop", "Connection"})
+    CHECK_FALSE(absl::StrContains(Out, Absent));
+}
+
+TEST_CASE("Prompt facts are read from what the caller states") {
+  HttpRequest From;
+  From.Headers = {{"Berylramp-Token-Usage", "1460,80"},
+                  {"Berylramp-Prefix-Hash", "5c:800,91:410,e4:250"}};
+  PromptFacts Facts = promptFacts(From, platform::headerNames());
+  CHECK(Facts.PromptTokens == 1460);
+  CHECK(Facts.OutputTokens == 80);
+  REQUIRE(Facts.Parts.size() == 3);
+  CHECK(Facts.Parts[1].Tokens == 410);
+  From.Headers = {{"Berylramp-Token-Usage", "x"},
+                  {"Berylramp-Prefix-Hash", ",,:,a"}};
+  CHECK(promptFacts(From, platform::headerNames()).PromptTokens == 0);
+}
+
+TEST_CASE("A reported load has three numbers") {
+  ReportedLoad Load;
+  CHECK(parseLoad("3,1,8", Load));
+  CHECK(Load.Waiting == 1);
+  CHECK_FALSE(parseLoad("3,1", Load));
+  CHECK_FALSE(parseLoad("a,b,c", Load));
+}
+
+TEST_CASE("A key needs its scheme") {
+  HttpRequest From;
+  From.Headers = {{"Authorization", "token  k1"}};
+  CHECK(keyOf(From, platform::headerNames()) == "k1");
+  From.Headers = {{"Authorization", "Bearer k1"}};
+  CHECK(keyOf(From, platform::headerNames()).empty());
+}
--- /dev/null
+++ b/test/platform_codec_test.cpp
@@ -0,0 +1,149 @@
+//===- platform_codec_test.cpp - The platform's forms ---------------------===//
+
+#include "platform.h"
+#include "standin.h"
+
+#include "absl/strings/match.h"
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace berylramp;
+using namespace berylramp::platform;
+
+TEST_CASE("A replica's record is decoded") {
+  auto Entry = decodeReplica(
+      "i-7f3a91c2",
+      R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"kigali-a",)"
+      R"("version":"v1","slots":64,"state":"draining","coldRemainingMs":0,)"
+      R"("sequence":4,"born":1771081512739})");
+  REQUIRE(Entry.ok());
+  CHECK(Entry->Service == ServiceId("huvo11a"));
+  CHECK(Entry->Address == Endpoint{"10.128.0.9", 8080});
+  CHECK(Entry->Place == PlaceId("kigali-a"));
+  CHECK(Entry->Slots == 64);
+  CHECK(Entry->Draining);
+  CHECK(Entry->BornMs == 1771081512739);
+}
+
+TEST_CASE("A record that names no replica is refused") {
+  for (
+      const char *Text :
+      {"", "7", "{}", R"({"service":"s"})",
+       R"({"service":"s","address":"x","zone":"z","version":"v","slots":1,"state":"ready"})",
+       R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v","slots":"1","state":"ready"})",
+       R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v","slots":1,"state":"odd"})",
+       R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":2,"slots":1,"state":"ready"})"}) {
+    CAPTURE(Text);
+    CHECK_FALSE(decodeReplica("i", Text).ok());
+  }
+}
+
+TEST_CASE("The operators' table is decoded") {
+  auto Table = decodeTable(standin::sampleTable(9, {"k1", "k2"}));
+  REQUIRE(Table.ok());
+  CHECK(Table->Version == TableVersion(9));
+  const Route *Stream = findRoute(*Table, "api.test", "/stream/x");
+  REQUIRE(Stream != nullptr);
+  CHECK(Stream->Rule == Repeat::Resumable);
+  CHECK(Stream->EventStream);
+  CHECK(Stream->Models.size() == 2);
+  CHECK(findRoute(*Table, "api.test", "/once/x")->Rule == Repeat::AtMostOnce);
+  CHECK(findRoute(*Table, "api.test", "/safe/x")->Rule == Repeat::Idempotent);
+  CHECK(findWorkspace(*Table, "k2")->Id == WorkspaceId("w1"));
+  CHECK(Table->Limits.BodyBytes == 100000);
+  CHECK(Table->service(ServiceId("engine"))->Prices.size() == 2);
+}
+
+TEST_CASE("A stream that may not be resumed runs at most once") {
+  auto Table = decodeTable(
+      R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",)"
+      R"("routeKind":"streaming","service":"s"}],"services":[]})");
+  REQUIRE(Table.ok());
+  CHECK(Table->Routes[0].Rule == Repeat::AtMostOnce);
+}
+
+TEST_CASE("Roll-outs go both ways") {
+  auto Order = decodeRollout(R"({"service":"s","target":"v2","durationS":12})");
+  REQUIRE(Order.ok());
+  CHECK(Order->Within == absl::Seconds(12));
+  for (RolloutState State : {RolloutState::InProgress, RolloutState::Complete,
+                             RolloutState::Reverted}) {
+    StoreRecord Record = encodeRolloutState(*Order, State);
+    CHECK(Record.Key == "rollout/s");
+    auto Back = decodeRolloutState(*Record.Value);
+    REQUIRE(Back.ok());
+    CHECK(Back->first == VersionId("v2"));
+    CHECK(Back->second == State);
+  }
+}
+
+TEST_CASE("Records of a topic go both ways") {
+  rc::prop("for any keys and values", [] {
+    auto Keys = *rc::gen::container<std::vector<std::string>>(rc::gen::nonEmpty(
+        rc::gen::container<std::string>(rc::gen::inRange('a', 'z'))));
+    std::string Body(16, '\0');
+    for (const std::string &Key : Keys)
+      Body += encodeRecord({Key.substr(0, 200), "value of " + Key});
+    auto Page = decodeRecords(Body, Offset(5));
+    RC_ASSERT(Page.ok());
+    RC_ASSERT(Page->Records.size() == Keys.size());
+    RC_ASSERT(Page->Next.count() == 5 + static_cast<int64_t>(Keys.size()));
+  });
+}
+
+TEST_CASE("A record without a value drops its key") {
+  auto Page = decodeRecords(
+      std::string(16, '\0') + encodeRecord({"k", std::nullopt}), Offset(0));
+  REQUIRE(Page.ok());
+  REQUIRE(Page->Records.size() == 1);
+  CHECK_FALSE(Page->Records[0].Value.has_value());
+}
+
+TEST_CASE("Any bytes are decoded or refused, never a crash") {
+  rc::prop("for any text", [] {
+    auto Text = *rc::gen::arbitrary<std::string>();
+    std::string More;
+    (void)decodeTable(Text);
+    (void)decodeReplica("i", Text);
+    (void)decodeRollout(Text);
+    (void)decodeRolloutState(Text);
+    (void)decodeSettings(Text);
+    (void)decodeRecords(Text, Offset(0));
+    (void)decodeNewest(Text, More);
+    RC_SUCCEED("decoded");
+  });
+}
+
+TEST_CASE("Tables with fields of other types are refused or read safely") {
+  rc::prop("for any replaced part", [] {
+    std::string Text = standin::sampleTable(1, {"k"});
+    auto From = static_cast<size_t>(
+        *rc::gen::inRange(0, static_cast<int>(Text.size())));
+    auto Count = static_cast<size_t>(*rc::gen::inRange(0, 12));
+    Text.replace(
+        From, Count,
+        *rc::gen::element<std::string>("3", "\"x\"", "[]", "{}", "null", ""));
+    (void)decodeTable(Text);
+    RC_SUCCEED("decoded");
+  });
+}
+
+TEST_CASE("Settings with faults name every one") {
+  auto Facts = decodeSettings(R"({"nodeName":"n","portRange":[1]})");
+  REQUIRE_FALSE(Facts.ok());
+  std::string Text(Facts.status().message());
+  for (const char *Field : {"zone", "ip", "frontend", "address", "portRange"})
+    CHECK(absl::StrContains(Text, Field));
+}
+
+TEST_CASE("Unknown settings are ignored") {
+  auto Facts = decodeSettings(
+      R"({"nodeName":"n","zone":"z","region":"r","ip":"127.0.0.1",)"
+      R"("listen":{"frontend":"127.0.0.1:1","ready":"127.0.0.1:2",)"
+      R"("directory":"127.0.0.1:3"},"portRange":[4,9],"news":{"a":1},)"
+      R"("platform":{"address":"127.0.0.1:5"},"bounds":{"graceS":8}})");
+  REQUIRE(Facts.ok());
+  CHECK(Facts->GossipPort == 4);
+  CHECK(Facts->Peers.Port == 0);
+  CHECK(Facts->Bounds.Grace == absl::Seconds(8));
+}
--- /dev/null
+++ b/test/rollout_test.cpp
@@ -0,0 +1,83 @@
+//===- rollout_test.cpp - Steps and judgement of a roll-out ---------------===//
+
+#include "berylramp/rollout.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace berylramp;
+
+namespace {
+
+const RolloutOrder Order{ServiceId("s"), VersionId("v2"), absl::Seconds(20)};
+const ExposureBounds Bounds{0.15, 30};
+
+RolloutEvidence evidenceOf(AnswerTally Target, AnswerTally Others) {
+  RolloutEvidence Seen;
+  Seen.Target = Target;
+  Seen.Others = Others;
+  return Seen;
+}
+
+} // namespace
+
+TEST_CASE("The canary share stays below the operators' bound") {
+  rc::prop("for every number of replicas", [] {
+    auto Replicas = static_cast<size_t>(*rc::gen::inRange(0, 1000));
+    double Share = canaryShare(Bounds, Replicas);
+    RC_ASSERT(Share > 0);
+    RC_ASSERT(Share < Bounds.Share);
+  });
+}
+
+TEST_CASE("The share is constant in the first half") {
+  rc::prop("for good evidence", [] {
+    int64_t Good = *rc::gen::inRange(0, 5000);
+    auto Seen = evidenceOf({Good, 0, Good * 100}, {Good * 9, 0, Good * 900});
+    auto Elapsed = absl::Milliseconds(*rc::gen::inRange(0, 10000));
+    RolloutStep Step = nextStep(Order, 0.05, Seen, Elapsed);
+    RC_ASSERT(Step.Share == 0.05);
+    RC_ASSERT(Step.State == RolloutState::InProgress);
+  });
+}
+
+TEST_CASE("A good target takes all and completes in time") {
+  auto Seen = evidenceOf({50, 0, 5000}, {900, 2, 90000});
+  CHECK(nextStep(Order, 0.05, Seen, absl::Seconds(12)).Share == 1);
+  CHECK(nextStep(Order, 0.05, Seen, absl::Seconds(18)).State ==
+        RolloutState::Complete);
+}
+
+TEST_CASE("An untried target takes nothing more") {
+  auto Seen = evidenceOf({}, {900, 2, 90000});
+  CHECK(nextStep(Order, 0.05, Seen, absl::Seconds(19)).Share == 0.05);
+}
+
+TEST_CASE("Failures of the target alone revert it") {
+  CHECK(targetIsBad(evidenceOf({6, 4, 600}, {500, 5, 50000})));
+  CHECK(nextStep(Order, 0.05, evidenceOf({6, 4, 600}, {500, 5, 50000}),
+                 absl::Seconds(3))
+            .State == RolloutState::Reverted);
+}
+
+TEST_CASE("Failures of all versions do not") {
+  CHECK_FALSE(targetIsBad(evidenceOf({60, 30, 600}, {500, 250, 50000})));
+}
+
+TEST_CASE("Few failures are noise") {
+  CHECK_FALSE(targetIsBad(evidenceOf({0, 3, 0}, {500, 0, 50000})));
+}
+
+TEST_CASE("A target that is slow where others are not is reverted") {
+  CHECK(targetIsBad(evidenceOf({20, 0, 20 * 900}, {500, 0, 500 * 150})));
+  CHECK_FALSE(targetIsBad(evidenceOf({20, 0, 20 * 300}, {500, 0, 500 * 150})));
+}
+
+TEST_CASE("A bad target gets nothing, whatever the time") {
+  rc::prop("after a trip", [] {
+    RolloutEvidence Seen;
+    Seen.Tripped = true;
+    auto Elapsed = absl::Milliseconds(*rc::gen::inRange(0, 60000));
+    RC_ASSERT(nextStep(Order, 0.05, Seen, Elapsed).Share == 0);
+  });
+}
