--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -76,6 +76,7 @@
 private:
   /// An engine's nominal pace; within a few dozen answers it is learned.
   double Pace = 0.02;
+  int Samples = 0;
 };
 
 /// Tokens as if attention took no time: its cost grows with the square of the
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -55,6 +55,8 @@
 /// Step of the pace towards a sample, and the quantile that it settles at:
 /// waiting makes samples too long, cached parts too short.
 constexpr double PaceStep = 0.04;
+constexpr double FirstPaceStep = 1.5;
+constexpr double MostPaceStep = 0.5;
 constexpr double PaceQuantile = 0.3;
 /// Weight of the newest answer in a replica's slowness, and its bounds.
 constexpr double SlownessWeight = 0.06;
@@ -115,7 +117,11 @@
     return;
   double Sample = Ms / effectiveTokens(Tokens);
   double Step = Sample < this->Pace ? PaceQuantile - 1 : PaceQuantile;
-  this->Pace *= 1 + PaceStep * Step;
+  // A host that just started learns in large steps.
+  this->Samples += 1;
+  double Size = std::clamp(FirstPaceStep / this->Samples, PaceStep,
+                           FirstPaceStep);
+  this->Pace *= 1 + std::min(Size, MostPaceStep) * Step;
 }
 
 double effectiveTokens(int64_t Tokens) {
