--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -183,7 +183,7 @@
   double BlindWeight = 2;
   /// Weight of reading a part again that another replica keeps, in times of
   /// the time that it takes.
-  double RereadWeight = 2;
+  double RereadWeight = 3;
   /// Time that a stream under way adds to a new one.
   absl::Duration StreamTime = absl::Milliseconds(8);
 };
