--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -106,6 +106,7 @@
   /// \p Limits is asked anew for each request.
   HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
                std::function<CallerLimits()> Limits, RequestHandler Handler);
+  // NOLINTNEXTLINE(bugprone-exception-escape)
   ~HttpListener();
 
   absl::Status listen(const Endpoint &At);
@@ -142,6 +143,7 @@
 class HttpCaller {
 public:
   HttpCaller(boost::asio::io_context &Loop, TimerService &Timer, Endpoint To);
+  // NOLINTNEXTLINE(bugprone-exception-escape)
   ~HttpCaller();
   /// Queues \p Call. \p Done gets Unavailable when nothing was sent and
   /// DeadlineExceeded or Unknown when the call may have taken effect.
@@ -230,6 +232,7 @@
   Exchange(boost::asio::io_context &Loop, TimerService &Timer,
            Metrics &Counters, UpstreamRegistry &Registry,
            ExchangeSettings Settings, ExchangeHooks Hooks);
+  // NOLINTNEXTLINE(bugprone-exception-escape)
   ~Exchange();
 
   void handle(HttpRequest Request, ResponderPtr Answer);
--- a/src/exchange/caller.cpp
+++ b/src/exchange/caller.cpp
@@ -148,6 +148,7 @@
                        Endpoint To)
     : Shared(std::make_shared<State>(Loop, Timer, std::move(To))) {}
 
+// NOLINTNEXTLINE(bugprone-exception-escape): only when memory is gone.
 HttpCaller::~HttpCaller() {
   this->Shared->Closed = true;
   this->Shared->Clock.cancel();
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -17,6 +17,7 @@
                                          std::move(Settings),
                                          std::move(Hooks))) {}
 
+// NOLINTNEXTLINE(bugprone-exception-escape): only when memory is gone.
 Exchange::~Exchange() { this->abortAll(); }
 
 void Exchange::handle(HttpRequest Request, ResponderPtr Answer) {
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -343,8 +343,7 @@
   this->Shared->Handler = std::move(Handler);
 }
 
-// NOLINTNEXTLINE(bugprone-exception-escape): copies of handlers may throw
-// only when memory is gone.
+// NOLINTNEXTLINE(bugprone-exception-escape): only when memory is gone.
 HttpListener::~HttpListener() { this->close(); }
 
 absl::Status HttpListener::listen(const Endpoint &At) {
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -212,6 +212,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(bugprone-exception-escape): the rest ends the program.
 int main(int Argc, char **Argv) {
   try {
     return runDaemon(Argc, Argv);
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -119,8 +119,8 @@
   double Step = Sample < this->Pace ? PaceQuantile - 1 : PaceQuantile;
   // A host that just started learns in large steps.
   this->Samples += 1;
-  double Size = std::clamp(FirstPaceStep / this->Samples, PaceStep,
-                           FirstPaceStep);
+  double Size =
+      std::clamp(FirstPaceStep / this->Samples, PaceStep, FirstPaceStep);
   this->Pace *= 1 + std::min(Size, MostPaceStep) * Step;
 }
 
