--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -83,6 +83,7 @@
   std::vector<uint32_t> targets(size_t Most, Instant Now);
   /// Peers heard of recently, without this host.
   std::vector<const Peer *> live(Instant Now) const;
+  std::vector<const Peer *> heardWithin(absl::Duration Time, Instant Now) const;
   /// Drops peers that have been silent for long.
   void sweep(Instant Now);
   size_t size() const { return this->Peers.size(); }
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -25,6 +25,11 @@
 /// Records older than this at the host that reads for the region have this
 /// host read the store itself: two reads that failed.
 constexpr absl::Duration ReaderAgeBound = absl::Milliseconds(1300);
+/// With hundreds of hosts a beat takes seconds to come around. A change of the
+/// reader costs all records, so that a host is passed over only after this.
+constexpr absl::Duration ReaderHeardWithin = absl::Seconds(10);
+/// A reader that failed is passed over for this long.
+constexpr absl::Duration ReaderBadFor = absl::Seconds(8);
 /// After a reader failed, how long this host reads the store itself.
 constexpr absl::Duration DirectFor = absl::Seconds(4);
 
@@ -32,7 +37,11 @@
 
 uint32_t EdgeDaemon::State::readerOfRegion() const {
   uint32_t Reader = this->Peers.self().Ip;
-  for (const Peer *Each : this->Peers.live(this->Timer.now())) {
+  Instant Now = this->Timer.now();
+  for (const Peer *Each : this->Peers.heardWithin(ReaderHeardWithin, Now)) {
+    auto Bad = this->BadReaders.find(Each->State.Ip);
+    if (Bad != this->BadReaders.end() && Now < Bad->second)
+      continue;
     auto Region = this->Facts.Regions.find(Each->State.Place);
     bool Near = Region != this->Facts.Regions.end() &&
                 Region->second == this->Facts.Region;
@@ -88,24 +97,25 @@
     return;
   uint32_t Asked = FromReader ? Reader : From[randomDraw() % From.size()];
   auto Weak = this->weak_from_this();
-  this->Link->fetch(
-      Asked, [Weak, FromReader](const absl::StatusOr<PeerRecords> &Records) {
-        if (auto Self = Weak.lock())
-          Self->tookPeer(Records, FromReader);
-      });
+  this->Link->fetch(Asked, [Weak, Reader = FromReader ? Reader : 0](
+                               const absl::StatusOr<PeerRecords> &Records) {
+    if (auto Self = Weak.lock())
+      Self->tookPeer(Records, Reader);
+  });
 }
 
 void EdgeDaemon::State::tookPeer(const absl::StatusOr<PeerRecords> &Records,
-                                 bool Reader) {
+                                 uint32_t Reader) {
   bool Fresh = Records.ok() && Records->Age < ReaderAgeBound;
-  if (Records.ok() && (!Reader || Fresh))
+  if (Records.ok() && (Reader == 0 || Fresh))
     this->peerRecords(*Records);
-  if (!Reader)
+  if (Reader == 0)
     return;
   if (Fresh) {
     this->followStore(false);
     return;
   }
+  this->BadReaders[Reader] = this->Timer.now() + ReaderBadFor;
   this->DirectUntil = this->Timer.now() + DirectFor;
   this->followStore(true);
 }
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -53,7 +53,7 @@
   void askPeer();
   uint32_t readerOfRegion() const;
   bool needsPeer() const;
-  void tookPeer(const absl::StatusOr<PeerRecords> &Records, bool Reader);
+  void tookPeer(const absl::StatusOr<PeerRecords> &Records, uint32_t Reader);
   void followStore(bool Direct);
   void noticePause();
   std::unique_ptr<HttpListener> listener(RequestHandler Handler);
@@ -104,10 +104,10 @@
   RecordBook Book;
   std::set<std::string> BadKeys;
   Instant NewerTableSince;
-  /// When records were last taken from the region's reader.
-  Instant ReaderGoodAt;
-  absl::Duration ReaderAge;
   Instant DirectUntil;
+  /// Hosts that did not serve as the region's reader, and until when they are
+  /// not asked again.
+  std::map<uint32_t, Instant> BadReaders;
   /// The boot clock's lead over the steady clock at the last look.
   absl::Duration ClockGap = absl::InfiniteDuration();
   bool Leaving = false;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -227,9 +227,14 @@
 }
 
 std::vector<const Peer *> PeerView::live(Instant Now) const {
+  return this->heardWithin(LiveFor, Now);
+}
+
+std::vector<const Peer *> PeerView::heardWithin(absl::Duration Time,
+                                                Instant Now) const {
   std::vector<const Peer *> Found;
   for (const auto &[Ip, Each] : this->Peers)
-    if (Now - Each.HeardAt < LiveFor)
+    if (Now - Each.HeardAt < Time)
       Found.push_back(&Each);
   return Found;
 }
