--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -58,7 +58,7 @@
   Hear Heard;
   Offset Next = NoOffset;
   Instant LastGood;
-  Instant RegainedAt;
+  Instant RegainedAt{-absl::InfiniteDuration()};
   absl::Duration Backoff;
   bool Reachable = true;
   bool Stopped = false;
