Bound what a datagram may claim

Cause: asan, 'Bytes that are no datagram change nothing': five bytes that claim a map of four billion entries made msgpack allocate 256 GB; without asan the allocation fails and the bytes are refused, with it or under overcommit a host could be ended by one datagram. Change: lengths are believed within what a datagram can hold.

--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -63,6 +63,17 @@
     packNote(Out, Note);
 }
 
+/// A stated length is believed only within what a datagram can hold: a header
+/// of five bytes may claim gigabytes.
+msgpack::object_handle unpackBounded(const std::string &Datagram) {
+  constexpr size_t MostEntries = 512;
+  constexpr size_t LongestText = 256;
+  constexpr size_t Deepest = 8;
+  msgpack::unpack_limit Limit(MostEntries, 0, LongestText, 0, 0, Deepest);
+  return msgpack::unpack(Datagram.data(), Datagram.size(), nullptr, nullptr,
+                         Limit);
+}
+
 const msgpack::object *listOf(const msgpack::object &From, uint32_t Size) {
   if (From.type != msgpack::type::ARRAY || From.via.array.size != Size)
     throw msgpack::type_error();
@@ -123,8 +134,7 @@
 
 bool decodeWork(const std::string &Datagram, WorkNote &Out) {
   try {
-    msgpack::object_handle Handle =
-        msgpack::unpack(Datagram.data(), Datagram.size());
+    msgpack::object_handle Handle = unpackBounded(Datagram);
     const msgpack::object *Fields = listOf(Handle.get(), 3);
     if (Fields[0].as<int>() != WorkLayout)
       return false;
@@ -170,8 +180,7 @@
 
 bool PeerView::merge(const std::string &Datagram, Instant Now) {
   try {
-    msgpack::object_handle Handle =
-        msgpack::unpack(Datagram.data(), Datagram.size());
+    msgpack::object_handle Handle = unpackBounded(Datagram);
     const msgpack::object *Top = listOf(Handle.get(), 2);
     if (Top[0].as<int>() != LayoutVersion ||
         Top[1].type != msgpack::type::ARRAY)
--- a/test/gossip_test.cpp
+++ b/test/gossip_test.cpp
@@ -94,6 +94,16 @@
   });
 }
 
+TEST_CASE("A datagram that claims gigabytes takes no memory") {
+  PeerView View(stateOf(1));
+  WorkNote Note;
+  for (const char *Header : {"\xdf", "\xdd", "\xdb", "\xc6", "\xc9"}) {
+    std::string Bytes = Header + std::string("\xff\xff\xff\xff", 4);
+    CHECK_FALSE(View.merge(Bytes, at(0)));
+    CHECK_FALSE(decodeWork(Bytes, Note));
+  }
+}
+
 TEST_CASE("Cut datagrams are refused") {
   PeerView A(stateOf(1));
   std::string Whole = A.encode(at(0));
