--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -149,6 +149,9 @@
   absl::Duration OperatorWait = absl::Milliseconds(1000);
   /// The same for the states of roll-outs, which peers tell each other too.
   absl::Duration StateWait = absl::Seconds(8);
+  /// Time for a page of the store's newest records: it has up to 1 MB, and all
+  /// hosts of a region may ask for it at once.
+  absl::Duration PageTime = absl::Seconds(6);
   /// Time between questions to the host that reads the store for a region.
   absl::Duration PeerReads = absl::Milliseconds(500);
   /// Time between datagrams, and peers that get one each time.
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -145,8 +145,8 @@
 private:
   EdgePlatform platformParts() {
     EdgePlatform Parts;
-    Parts.Store =
-        platform::storePort(this->Loop, this->Timer, this->Facts.Store);
+    Parts.Store = platform::storePort(
+        this->Loop, this->Timer, this->Facts.Store, EdgeSettings().PageTime);
     Parts.Codec = platform::codec();
     return Parts;
   }
