Hand out a mark without the entries that the asking host has read itself

Cause: a host that became ready took all records from its region's reader, though it had read them from the store a moment before: 1 MB to each of 100 hosts at 3,000 replicas (6.7 MB/s at the reader), and again whenever the reader changed.

Ruled out: a shorter time for the whole page (2 s: fails when 300 hosts start).

Change: a query tells the age of the asking host's entries; the reader leaves its own out where they are hardly newer, and the host goes over to the reader once a read of the store that began after the mark is in. Answers carry the reader's place in the topic, so that a host that loses its reader reads on from there. A small call has a longest silence beside its longest time.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -152,6 +152,9 @@
   /// Time for a page of the store's newest records: it has up to 1 MB, and all
   /// hosts of a region may ask for it at once.
   absl::Duration PageTime = absl::Seconds(6);
+  /// The longest silence during such a page: a store that lost the call is
+  /// asked again soon after it is back.
+  absl::Duration PageSilence = absl::Seconds(2);
   /// Time between questions to the host that reads the store for a region.
   absl::Duration PeerReads = absl::Milliseconds(500);
   /// Time between datagrams, and peers that get one each time.
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -130,6 +130,8 @@
   std::string ContentType;
   std::string Body;
   absl::Duration Timeout = absl::Seconds(2);
+  /// The longest time without a byte of the answer.
+  absl::Duration SilenceTime = absl::InfiniteDuration();
 };
 
 struct CallAnswer {
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -60,18 +60,23 @@
   logEvent(LogLevel::Info, "record_source", Line);
   for (const auto &Each : {this->Operators, this->States, this->Replicas}) {
     if (Direct)
-      Each->resume(Each == this->Replicas);
+      Each->resume();
     else
       Each->pause();
   }
 }
 
 bool EdgeDaemon::State::needsPeer() const {
-  bool Away =
-      !this->Replicas->reachable() && this->Replicas->age() > StoreAwayAfter;
+  bool Away = !this->Replicas->reachable() &&
+              this->Timer.now() - this->Replicas->lastGood() > StoreAwayAfter;
   return Away || this->Timer.now() - this->NewerTableSince > AskPeerAfter;
 }
 
+absl::Duration EdgeDaemon::State::entriesAge() const {
+  return this->Timer.now() -
+         std::max(this->Replicas->lastGood(), this->PeerEntriesAsOf);
+}
+
 void EdgeDaemon::State::askPeer() {
   Instant Now = this->Timer.now();
   TableVersion Own = this->Table ? this->Table->Version : NoTable;
@@ -89,35 +94,57 @@
                 this->Leaving || Now < this->DirectUntil;
   if (Direct)
     this->followStore(true);
-  bool FromReader = !Direct;
-  if (Direct && !this->needsPeer())
-    return;
-  const std::vector<uint32_t> &From = Newer.empty() ? Any : Newer;
-  if (!FromReader && From.empty())
+  if (!Direct)
+    this->askReader(Reader);
+  else if (this->needsPeer())
+    this->askAnyPeer(Newer.empty() ? Any : Newer);
+}
+
+void EdgeDaemon::State::askAnyPeer(const std::vector<uint32_t> &From) {
+  if (From.empty())
     return;
-  uint32_t Asked = FromReader ? Reader : From[randomDraw() % From.size()];
+  PeerQuery Query;
+  Query.OwnAge = this->entriesAge();
   auto Weak = this->weak_from_this();
-  this->Link->fetch(Asked, [Weak, Reader = FromReader ? Reader : 0](
-                               const absl::StatusOr<PeerRecords> &Records) {
-    if (auto Self = Weak.lock())
-      Self->tookPeer(Records, Reader);
-  });
+  this->Link->fetch(From[randomDraw() % From.size()], Query,
+                    [Weak](const absl::StatusOr<PeerRecords> &Records) {
+                      auto Self = Weak.lock();
+                      if (Self && Records.ok())
+                        Self->peerRecords(*Records);
+                    });
 }
 
-void EdgeDaemon::State::tookPeer(const absl::StatusOr<PeerRecords> &Records,
-                                 uint32_t Reader) {
-  bool Fresh = Records.ok() && Records->Age < ReaderAgeBound;
-  if (Records.ok() && (Reader == 0 || Fresh))
-    this->peerRecords(*Records);
-  if (Reader == 0)
+void EdgeDaemon::State::askReader(uint32_t Reader) {
+  bool Marked = this->FromReader.Ip == Reader;
+  bool Pending = Marked && !this->FromReader.Settled;
+  bool ReadSince = this->FromReader.TakenAt < this->Replicas->lastGoodBegan();
+  if (Pending && this->Replicas->reachable() && !ReadSince)
     return;
-  if (Fresh) {
-    this->followStore(false);
+  PeerQuery Query;
+  Query.OwnAge = this->entriesAge();
+  if (Marked && (this->FromReader.Settled || ReadSince))
+    Query.Since = this->FromReader.Mark;
+  auto Weak = this->weak_from_this();
+  this->Link->fetch(Reader, Query,
+                    [Weak, Reader](const absl::StatusOr<PeerRecords> &Records) {
+                      if (auto Self = Weak.lock())
+                        Self->tookFromReader(Records, Reader);
+                    });
+}
+
+void EdgeDaemon::State::tookFromReader(
+    const absl::StatusOr<PeerRecords> &Records, uint32_t Reader) {
+  if (!Records.ok() || Records->Age >= ReaderAgeBound) {
+    this->BadReaders[Reader] = this->Timer.now() + ReaderBadFor;
+    this->DirectUntil = this->Timer.now() + DirectFor;
+    this->FromReader = ReaderMark();
+    this->followStore(true);
     return;
   }
-  this->BadReaders[Reader] = this->Timer.now() + ReaderBadFor;
-  this->DirectUntil = this->Timer.now() + DirectFor;
-  this->followStore(true);
+  this->peerRecords(*Records);
+  this->FromReader = {Reader, Records->Mark, this->Timer.now(),
+                      !Records->ReplicasLeftOut};
+  this->followStore(Records->ReplicasLeftOut);
 }
 
 int EdgeDaemon::State::rank() const {
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -163,10 +163,12 @@
 void EdgeDaemon::State::peerRecords(const PeerRecords &Records) {
   this->operatorRecords(Records.Operators);
   this->stateRecords(Records.States);
-  bool Newer = this->Replicas->paused() || Records.Age < this->Replicas->age();
-  if (Newer)
-    this->replicaRecords(Records.Replicas, Records.Whole,
-                         Records.StoreJustBack);
+  bool Newer = this->Replicas->paused() || Records.Age < this->entriesAge();
+  if (!Newer || Records.ReplicasLeftOut)
+    return;
+  this->replicaRecords(Records.Replicas, Records.Whole, Records.StoreJustBack);
+  this->PeerEntriesAsOf = this->Timer.now() + -Records.Age;
+  this->Replicas->skipTo(Records.ReplicasNext);
 }
 
 } // namespace berylramp
--- a/src/edge/edge_serve.cpp
+++ b/src/edge/edge_serve.cpp
@@ -80,8 +80,9 @@
     Answer->sendWhole(headOf(404), "", false);
     return;
   }
-  PeerRecords Records = this->Book.since(markOf(Request.Target));
-  Records.Age = this->Replicas->age();
+  PeerRecords Records =
+      this->Book.answer(decodePeerQuery(Request.Target), this->entriesAge());
+  Records.ReplicasNext = this->Replicas->next();
   Records.StoreJustBack = this->storeJustBack();
   HttpHead Head = headOf(200);
   Head.Headers.emplace_back("Content-Type", "application/json");
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -21,6 +21,16 @@
 inline constexpr double RetryPart = 0.75;
 inline constexpr double SlackPart = 0.8;
 
+/// What a host has of the records of the host that reads for its region.
+struct ReaderMark {
+  uint32_t Ip = 0;
+  BookMark Mark;
+  Instant TakenAt;
+  /// False until a read of the store that began after the mark was given:
+  /// only then is nothing before the mark missing here.
+  bool Settled = false;
+};
+
 struct EdgeDaemon::State : std::enable_shared_from_this<EdgeDaemon::State> {
   State(boost::asio::io_context &Loop, LoopTimer &Timer, HostFacts Facts,
         EdgePlatform Platform, EdgeSettings Settings)
@@ -53,7 +63,11 @@
   void askPeer();
   uint32_t readerOfRegion() const;
   bool needsPeer() const;
-  void tookPeer(const absl::StatusOr<PeerRecords> &Records, uint32_t Reader);
+  void askReader(uint32_t Reader);
+  void askAnyPeer(const std::vector<uint32_t> &From);
+  void tookFromReader(const absl::StatusOr<PeerRecords> &Records,
+                      uint32_t Reader);
+  absl::Duration entriesAge() const;
   void followStore(bool Direct);
   void noticePause();
   std::unique_ptr<HttpListener> listener(RequestHandler Handler);
@@ -105,6 +119,9 @@
   std::set<std::string> BadKeys;
   Instant NewerTableSince;
   Instant DirectUntil;
+  ReaderMark FromReader;
+  /// How new the replicas' entries are that a peer gave.
+  Instant PeerEntriesAsOf{-absl::InfiniteDuration()};
   /// Hosts that did not serve as the region's reader, and until when they are
   /// not asked again.
   std::map<uint32_t, Instant> BadReaders;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -17,22 +17,8 @@
 /// A peer answers from memory; longer means that it is gone or overloaded.
 constexpr absl::Duration FetchTime = absl::Milliseconds(600);
 
-int64_t numberAfter(const std::string &Text, const std::string &Name) {
-  size_t At = Text.find(Name + "=");
-  if (At == std::string::npos)
-    return 0;
-  return std::strtoll(Text.c_str() + At + Name.size() + 1, nullptr, 10);
-}
-
 } // namespace
 
-BookMark markOf(const std::string &Target) {
-  BookMark Mark;
-  Mark.Life = Incarnation(numberAfter(Target, "life"));
-  Mark.Sequence = numberAfter(Target, "sequence");
-  return Mark;
-}
-
 absl::Status PeerLink::open() {
   boost::system::error_code Error;
   auto Address = boost::asio::ip::make_address_v4(this->Facts.Ip, Error);
@@ -120,7 +106,7 @@
       });
 }
 
-bool PeerLink::fetch(uint32_t Ip,
+bool PeerLink::fetch(uint32_t Ip, const PeerQuery &Query,
                      std::function<void(absl::StatusOr<PeerRecords>)> Done) {
   if (this->Fetching || this->Facts.Peers.Port == 0)
     return false;
@@ -128,30 +114,24 @@
     Endpoint To{ipText(Ip), this->Facts.Peers.Port};
     this->Fetcher = std::make_shared<HttpCaller>(this->Loop, this->Timer, To);
     this->FetchFrom = Ip;
-    this->Mark = BookMark();
   }
   this->Fetching = true;
   OutgoingCall Call;
-  Call.Target = absl::StrCat(PeerRecordsPath, "?life=", this->Mark.Life.count(),
-                             "&sequence=", this->Mark.Sequence);
+  Call.Target = encodePeerQuery(Query);
   Call.Timeout = FetchTime;
   auto Weak = this->weak_from_this();
-  this->Fetcher->call(
-      std::move(Call), [Weak, Done = std::move(Done), Keep = this->Fetcher](
-                           const absl::StatusOr<CallAnswer> &Answer) {
-        auto Self = Weak.lock();
-        if (!Self)
-          return;
-        Self->Fetching = false;
-        if (!Answer.ok()) {
-          Done(Answer.status());
-          return;
-        }
-        absl::StatusOr<PeerRecords> Records = decodePeerRecords(Answer->Body);
-        if (Records.ok())
-          Self->Mark = Records->Mark;
-        Done(std::move(Records));
-      });
+  this->Fetcher->call(std::move(Call),
+                      [Weak, Done = std::move(Done), Keep = this->Fetcher](
+                          const absl::StatusOr<CallAnswer> &Answer) {
+                        auto Self = Weak.lock();
+                        if (!Self)
+                          return;
+                        Self->Fetching = false;
+                        if (Answer.ok())
+                          Done(decodePeerRecords(Answer->Body));
+                        else
+                          Done(Answer.status());
+                      });
   return true;
 }
 
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -30,9 +30,9 @@
   void tellWork(const WorkNote &Note);
   /// Called for each such word of a peer.
   std::function<void(const WorkNote &)> OnWork;
-  /// Asks a peer for the records that changed since it was asked last. One
-  /// request is under way at a time; false when one is.
-  bool fetch(uint32_t Ip,
+  /// Asks a peer for records. One request is under way at a time; false when
+  /// one is.
+  bool fetch(uint32_t Ip, const PeerQuery &Query,
              std::function<void(absl::StatusOr<PeerRecords>)> Done);
 
 private:
@@ -45,20 +45,12 @@
   PeerView &View;
   int Targets;
   boost::asio::ip::udp::socket Socket;
-  /// The peer asked last, the connection to it and what it gave.
+  /// The peer asked last and the connection to it.
   uint32_t FetchFrom = 0;
   std::shared_ptr<HttpCaller> Fetcher;
-  BookMark Mark;
   bool Fetching = false;
 };
 
-/// The path under which a host hands out its records, with the mark's life and
-/// sequence behind it.
-inline constexpr const char *PeerRecordsPath = "/peer/records";
-
-/// Reads the mark of "PATH?life=N&sequence=N"; an empty mark when it has none.
-BookMark markOf(const std::string &Target);
-
 } // namespace berylramp
 
 #endif // BERYLRAMP_EDGE_PEER_LINK_H
--- a/src/edge/record_book.h
+++ b/src/edge/record_book.h
@@ -18,6 +18,14 @@
   int64_t Sequence = 0;
 };
 
+/// What a host asks a peer for.
+struct PeerQuery {
+  /// Where the last answer of the same peer ended.
+  BookMark Since;
+  /// Age of the replicas' entries that the asking host has.
+  absl::Duration OwnAge = absl::InfiniteDuration();
+};
+
 /// Records that one host hands to another.
 struct PeerRecords {
   BookMark Mark;
@@ -27,6 +35,11 @@
   std::vector<StoreRecord> Operators;
   std::vector<StoreRecord> States;
   std::vector<StoreRecord> Replicas;
+  /// The replicas' entries are not among the records: those that the asking
+  /// host has are about as new, but may differ from the mark.
+  bool ReplicasLeftOut = false;
+  /// Where the sender's next read of the replicas' entries continues.
+  Offset ReplicasNext = NoOffset;
   /// The store came back a moment ago: entries may be missing that live.
   bool StoreJustBack = false;
   /// Time since the sender last read the replicas' entries from the store.
@@ -36,6 +49,12 @@
 std::string encodePeerRecords(const PeerRecords &Records);
 absl::StatusOr<PeerRecords> decodePeerRecords(const std::string &Text);
 
+/// The path under which a host hands out its records, with a query behind it.
+inline constexpr const char *PeerRecordsPath = "/peer/records";
+std::string encodePeerQuery(const PeerQuery &Query);
+/// Fields that are missing or no numbers keep their defaults.
+PeerQuery decodePeerQuery(const std::string &Target);
+
 class RecordBook {
 public:
   explicit RecordBook(Incarnation Life) : Life(Life) {}
@@ -44,6 +63,9 @@
   void put(StoreTopic Topic, const StoreRecord &Record);
   /// What changed since \p Since, or everything for a mark of another life.
   PeerRecords since(const BookMark &Since) const;
+  /// The same without the replicas' entries where that would be all of them
+  /// and \p Age, the age of those here, makes them hardly newer.
+  PeerRecords answer(const PeerQuery &Query, absl::Duration Age) const;
   const std::string *find(StoreTopic Topic, const std::string &Key) const;
 
 private:
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -24,13 +24,18 @@
 
 } // namespace
 
-void StoreFollower::resume(bool Anew) {
+void StoreFollower::skipTo(Offset From) {
+  if (this->Paused && !this->Active && From > this->Next)
+    this->Next = From;
+}
+
+void StoreFollower::resume() {
   if (!this->Paused)
     return;
   this->Paused = false;
   if (this->Active)
     return;
-  if (Anew || this->Next == NoOffset)
+  if (this->Next == NoOffset)
     this->readNewest();
   else
     this->readOn();
@@ -38,6 +43,7 @@
 
 void StoreFollower::readNewest() {
   this->Active = true;
+  this->Began = this->Timer.now();
   this->Counters.count(Counter::LogReads);
   this->Store.Newest(
       this->Plan.Topic,
@@ -49,6 +55,7 @@
 
 void StoreFollower::readOn() {
   this->Active = true;
+  this->Began = this->Timer.now();
   this->Counters.count(Counter::LogReads);
   this->Store.Read(
       this->Plan.Topic, this->Next, this->Plan.Wait,
@@ -81,6 +88,7 @@
     return;
   }
   this->LastGood = this->Timer.now();
+  this->LastGoodBegan = this->Began;
   this->Backoff = absl::ZeroDuration();
   if (!this->Reachable) {
     this->RegainedAt = this->LastGood;
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -33,15 +33,18 @@
   void stop() { this->Stopped = true; }
   /// Reads no more until resume(); a read under way is still heard.
   void pause() { this->Paused = true; }
-  /// Reads on, from the newest records where \p Anew.
-  void resume(bool Anew);
+  /// Reads on; from the newest records where nothing was read yet.
+  void resume();
+  /// Continues behind what a peer has read, where that is further.
+  void skipTo(Offset From);
   bool paused() const { return this->Paused; }
   /// Where the topic ends as far as is known; NoOffset before the first read.
   Offset next() const { return this->Next; }
   /// False while reads fail.
   bool reachable() const { return this->Reachable; }
-  /// Time since the last read that worked began to be answered.
-  absl::Duration age() const { return this->Timer.now() - this->LastGood; }
+  /// When the last read that worked was answered, and when it began.
+  Instant lastGood() const { return this->LastGood; }
+  Instant lastGoodBegan() const { return this->LastGoodBegan; }
   /// When reads began to work again after a failure.
   Instant regainedAt() const { return this->RegainedAt; }
 
@@ -58,6 +61,8 @@
   Hear Heard;
   Offset Next = NoOffset;
   Instant LastGood;
+  Instant LastGoodBegan{-absl::InfiniteDuration()};
+  Instant Began;
   Instant RegainedAt{-absl::InfiniteDuration()};
   absl::Duration Backoff;
   bool Reachable = true;
--- a/src/exchange/caller.cpp
+++ b/src/exchange/caller.cpp
@@ -10,6 +10,7 @@
 #include "http_parse.h"
 
 #include "absl/strings/str_cat.h"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace berylramp {
@@ -28,15 +29,27 @@
       return;
     this->Current = std::make_unique<Item>(std::move(this->Queue.front()));
     this->Queue.pop_front();
-    this->Clock.expires_after(
-        absl::ToChronoNanoseconds(this->Current->Call.Timeout));
+    this->Ends = this->Timer.now() + this->Current->Call.Timeout;
+    this->LastByte = this->Timer.now();
+    this->watch();
+    this->Kept = this->Wire != nullptr && this->Wire->isOpen();
+    this->write();
+  }
+
+  /// When the call has waited too long, unless a byte comes before.
+  Instant patience() const {
+    return std::min(this->Ends,
+                    this->LastByte + this->Current->Call.SilenceTime);
+  }
+
+  void watch() {
+    absl::Duration Left = this->patience() - this->Timer.now();
+    this->Clock.expires_after(absl::ToChronoNanoseconds(Left));
     this->Clock.async_wait(
         [Weak = this->weak_from_this()](const boost::system::error_code &E) {
           if (auto Self = Weak.lock(); Self && !E)
             Self->expired();
         });
-    this->Kept = this->Wire != nullptr && this->Wire->isOpen();
-    this->write();
   }
 
   void write() {
@@ -74,6 +87,7 @@
       this->Wire->close();
       return;
     }
+    this->LastByte = this->Timer.now();
     this->Buffer.append(Bytes.data(), Bytes.size());
     if (this->Parser->feed(this->Buffer) != ParseFault::None) {
       this->fail(absl::UnknownError("the answer is not HTTP"));
@@ -101,6 +115,12 @@
   }
 
   void expired() {
+    if (this->Current == nullptr)
+      return;
+    if (this->Timer.now() < this->patience()) {
+      this->watch();
+      return;
+    }
     this->fail(absl::DeadlineExceededError(
         absl::StrCat("no answer from ", this->To.text(), " in time")));
   }
@@ -140,6 +160,8 @@
   std::shared_ptr<Channel> Wire;
   std::unique_ptr<AnswerParser> Parser;
   std::string Buffer;
+  Instant Ends;
+  Instant LastByte;
   bool Kept = false;
   bool Closed = false;
 };
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -146,7 +146,7 @@
   EdgePlatform platformParts() {
     EdgePlatform Parts;
     Parts.Store = platform::storePort(
-        this->Loop, this->Timer, this->Facts.Store, EdgeSettings().PageTime);
+        this->Loop, this->Timer, this->Facts.Store, EdgeSettings());
     Parts.Codec = platform::codec();
     return Parts;
   }
--- a/test/edge_fixture.cpp
+++ b/test/edge_fixture.cpp
@@ -114,8 +114,8 @@
 
 void EdgeFixture::start(EdgeSettings Settings) {
   EdgePlatform Parts;
-  Parts.Store = platform::storePort(this->Loop, this->Timer, this->Facts.Store,
-                                    Settings.PageTime);
+  Parts.Store =
+      platform::storePort(this->Loop, this->Timer, this->Facts.Store, Settings);
   Parts.Codec = platform::codec();
   this->Daemon = std::make_unique<EdgeDaemon>(
       this->Loop, this->Timer, this->Facts, std::move(Parts), Settings);
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -73,18 +73,61 @@
   CHECK(Book.since({Incarnation(9), 99}).Replicas.empty());
 }
 
+TEST_CASE("A peer with entries as new gets none of them again") {
+  RecordBook Book(Incarnation(1));
+  Book.put(StoreTopic::Operators, {"t", "one"});
+  Book.put(StoreTopic::Replicas, {"r", "up"});
+  PeerQuery Query;
+  Query.OwnAge = absl::Milliseconds(700);
+  PeerRecords Out = Book.answer(Query, absl::Milliseconds(300));
+  CHECK(Out.ReplicasLeftOut);
+  CHECK(Out.Replicas.empty());
+  CHECK(Out.Operators.size() == 1);
+  Query.Since = Out.Mark;
+  Book.put(StoreTopic::Replicas, {"s", "up"});
+  Out = Book.answer(Query, absl::Milliseconds(300));
+  CHECK_FALSE(Out.ReplicasLeftOut);
+  CHECK(Out.Replicas.size() == 1);
+}
+
+TEST_CASE("A peer that has nothing, or old entries, gets all of them") {
+  RecordBook Book(Incarnation(1));
+  Book.put(StoreTopic::Replicas, {"r", "up"});
+  PeerQuery Query;
+  if (GENERATE(true, false))
+    Query.OwnAge = absl::Seconds(9);
+  PeerRecords Out = Book.answer(Query, absl::Milliseconds(300));
+  CHECK_FALSE(Out.ReplicasLeftOut);
+  CHECK(Out.Replicas.size() == 1);
+}
+
+TEST_CASE("A query for records goes both ways") {
+  PeerQuery Query;
+  Query.Since = {Incarnation(7), 12};
+  Query.OwnAge = absl::Milliseconds(450);
+  PeerQuery Back = decodePeerQuery(encodePeerQuery(Query));
+  CHECK(Back.Since.Life == Query.Since.Life);
+  CHECK(Back.Since.Sequence == 12);
+  CHECK(Back.OwnAge == Query.OwnAge);
+  CHECK(decodePeerQuery(PeerRecordsPath).OwnAge == absl::InfiniteDuration());
+}
+
 TEST_CASE("A peer's records go both ways") {
   RecordBook Book(Incarnation(3));
   Book.put(StoreTopic::RolloutStates, {"k", "v"});
   Book.put(StoreTopic::Replicas, {"gone", std::nullopt});
   PeerRecords Out = Book.since({Incarnation(3), 0});
   Out.Age = absl::Milliseconds(70);
+  Out.ReplicasLeftOut = true;
+  Out.ReplicasNext = Offset(41);
   auto Back = decodePeerRecords(encodePeerRecords(Out));
   REQUIRE(Back.ok());
   CHECK(Back->Mark.Sequence == 2);
   CHECK(Back->States.size() == 1);
   CHECK_FALSE(Back->Replicas[0].Value.has_value());
   CHECK(Back->Age == absl::Milliseconds(70));
+  CHECK(Back->ReplicasLeftOut);
+  CHECK(Back->ReplicasNext == Offset(41));
   CHECK_FALSE(decodePeerRecords("{}").ok());
 }
 
