--- a/src/edge/rollout_desk.cpp
+++ b/src/edge/rollout_desk.cpp
@@ -58,7 +58,8 @@
   if (Found == this->Entries.end() || Found->second.Order.Target != Target)
     return;
   Entry &Which = Found->second;
-  if (Which.Known && Which.State != RolloutState::InProgress)
+  bool Ended = Which.Known && Which.State != RolloutState::InProgress;
+  if (Ended || (Which.Known && Which.State == State))
     return;
   Which.Known = true;
   Which.State = State;
