Keep one reader of the store a region, and read the store less

Hosts changed their source of records 186 times to the store: the reader was the host with the lowest address, so that one that came back took the region over; a reader that lost the store was found out only by its records' age; each change had every host read three topics for four seconds; and during a failure all three topics were tried at the same pace.

Change: hosts tell their use of the store (rests, reads, away) by gossip. Who reads keeps to it, one that the store fails is passed over at once. A host that reads for itself reads only the replicas' entries for the first second. While the store fails the entries alone probe it. Period of the entries and bounds on their age are parts of the operators' bound on draining. States of roll-outs are written first by hosts that read the store; another host reads them before it writes.

--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -42,6 +42,16 @@
 /// False when the bytes hold no note.
 bool decodeWork(const std::string &Datagram, WorkNote &Out);
 
+/// How a host stands to the platform's store.
+enum class StoreUse {
+  /// Takes records from a peer; the store served it when it last read.
+  Rests,
+  /// Reads the store for its region.
+  Reads,
+  /// The store does not serve it.
+  Away
+};
+
 /// What a host says of itself. All hosts use the same ports, so its IPv4
 /// address names it.
 struct PeerState {
@@ -53,6 +63,7 @@
   PlaceId Place;
   bool Ready = false;
   bool Leaving = false;
+  StoreUse Store = StoreUse::Rests;
   TableVersion Table = NoTable;
   std::vector<RolloutNote> Rollouts;
 };
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -45,6 +45,31 @@
   return addressesOf(Usable, Query.Most);
 }
 
+uint32_t chooseReader(const std::vector<const PeerState *> &Able,
+                      uint32_t Otherwise) {
+  uint32_t Reads = 0;
+  uint32_t Could = 0;
+  auto Lower = [](uint32_t A, uint32_t B) {
+    return A == 0 ? B : std::min(A, B);
+  };
+  for (const PeerState *Each : Able) {
+    if (!Each->Ready || Each->Leaving || Each->Store == StoreUse::Away)
+      continue;
+    Could = Lower(Could, Each->Ip);
+    if (Each->Store == StoreUse::Reads)
+      Reads = Lower(Reads, Each->Ip);
+  }
+  if (Reads != 0)
+    return Reads;
+  return Could != 0 ? Could : Otherwise;
+}
+
+bool writesBefore(const PeerState &A, const PeerState &B) {
+  bool FirstReads = A.Store == StoreUse::Reads;
+  bool SecondReads = B.Store == StoreUse::Reads;
+  return FirstReads == SecondReads ? A.Ip < B.Ip : FirstReads;
+}
+
 uint32_t parseIp(const std::string &Text) {
   boost::system::error_code Error;
   auto Address = boost::asio::ip::make_address_v4(Text, Error);
--- a/src/edge/directory.h
+++ b/src/edge/directory.h
@@ -22,6 +22,16 @@
                                const std::vector<PeerState> &Hosts);
 
 /// IPv4 text to a number in host byte order; 0 when it is none.
+/// The host that reads the store for a region: of those in \p Able that read
+/// already, or else of all that could, the one with the lowest address; \p
+/// Otherwise where there is none.
+uint32_t chooseReader(const std::vector<const PeerState *> &Able,
+                      uint32_t Otherwise);
+
+/// Whether \p A writes the states of roll-outs before \p B does: hosts that
+/// read the store know where the topic ends.
+bool writesBefore(const PeerState &A, const PeerState &B);
+
 uint32_t parseIp(const std::string &Text);
 std::string ipText(uint32_t Ip);
 
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -18,25 +18,33 @@
 
 namespace {
 
-/// A peer's newer table, or a store that fails, for this long has this host
-/// ask a peer.
+/// A peer's newer table for this long has this host ask a peer.
 constexpr absl::Duration AskPeerAfter = absl::Milliseconds(300);
-constexpr absl::Duration StoreAwayAfter = absl::Milliseconds(1500);
-/// Records older than this at the host that reads for the region have this
-/// host read the store itself: two reads that failed.
-constexpr absl::Duration ReaderAgeBound = absl::Milliseconds(1300);
+/// Part of the bound on work for a leaving replica. A store whose reads fail
+/// for longer counts as away: this host asks peers and does not read for them.
+constexpr double StoreAwayPart = 0.35;
+/// Part of the bound on work for a leaving replica. Records older than this at
+/// the host that reads for the region have this host read the store itself.
+constexpr double ReaderAgePart = 0.52;
 /// With hundreds of hosts a beat takes seconds to come around. A change of the
 /// reader costs all records, so that a host is passed over only after this.
 constexpr absl::Duration ReaderHeardWithin = absl::Seconds(10);
 /// A reader that failed is passed over for this long.
 constexpr absl::Duration ReaderBadFor = absl::Seconds(8);
-/// After a reader failed, how long this host reads the store itself.
-constexpr absl::Duration DirectFor = absl::Seconds(4);
+/// After a reader failed, how long this host reads the store itself: the next
+/// reader notices the failure within two of its questions.
+constexpr absl::Duration DirectFor = absl::Milliseconds(1200);
+/// A host that reads the replicas' entries itself for this long reads the
+/// other topics too. Before that a newer table is heard of from peers.
+constexpr absl::Duration TablesAfter = absl::Seconds(1);
 
 } // namespace
 
 uint32_t EdgeDaemon::State::readerOfRegion() const {
-  uint32_t Reader = this->Peers.self().Ip;
+  std::vector<const PeerState *> Able;
+  const PeerState &Self = this->Peers.self();
+  if (this->storeServes())
+    Able.push_back(&Self);
   Instant Now = this->Timer.now();
   for (const Peer *Each : this->Peers.heardWithin(ReaderHeardWithin, Now)) {
     auto Bad = this->BadReaders.find(Each->State.Ip);
@@ -45,10 +53,28 @@
     auto Region = this->Facts.Regions.find(Each->State.Place);
     bool Near = Region != this->Facts.Regions.end() &&
                 Region->second == this->Facts.Region;
-    if (Near && !Each->State.Leaving && Each->State.Ready)
-      Reader = std::min(Reader, Each->State.Ip);
+    if (Near)
+      Able.push_back(&Each->State);
   }
-  return Reader;
+  return chooseReader(Able, Self.Ip);
+}
+
+void EdgeDaemon::State::tellStoreUse(uint32_t Reader) {
+  StoreUse Use = StoreUse::Rests;
+  if (!this->storeServes())
+    Use = StoreUse::Away;
+  else if (Reader == this->Peers.self().Ip && this->ready())
+    Use = StoreUse::Reads;
+  if (Use == this->Peers.self().Store)
+    return;
+  this->Peers.self().Store = Use;
+  this->Link->spread();
+}
+
+bool EdgeDaemon::State::storeServes() const {
+  return this->Replicas->reachable() ||
+         this->Timer.now() - this->Replicas->lastGood() <
+             this->Facts.Bounds.Drain * StoreAwayPart;
 }
 
 void EdgeDaemon::State::followStore(bool Direct) {
@@ -58,18 +84,26 @@
   Line["from"] = Direct ? "store" : "peer";
   Line["reader"] = ipText(this->readerOfRegion());
   logEvent(LogLevel::Info, "record_source", Line);
-  for (const auto &Each : {this->Operators, this->States, this->Replicas}) {
-    if (Direct)
-      Each->resume();
-    else
-      Each->pause();
+  if (Direct) {
+    this->DirectSince = this->Timer.now();
+    this->Replicas->resume();
+    return;
   }
+  for (const auto &Each : {this->Operators, this->States, this->Replicas})
+    Each->pause();
+}
+
+void EdgeDaemon::State::followTables() {
+  bool Reads = this->Peers.self().Store == StoreUse::Reads;
+  if (!Reads && this->Timer.now() - this->DirectSince < TablesAfter)
+    return;
+  this->Operators->resume();
+  this->States->resume();
 }
 
 bool EdgeDaemon::State::needsPeer() const {
-  bool Away = !this->Replicas->reachable() &&
-              this->Timer.now() - this->Replicas->lastGood() > StoreAwayAfter;
-  return Away || this->Timer.now() - this->NewerTableSince > AskPeerAfter;
+  return !this->storeServes() ||
+         this->Timer.now() - this->NewerTableSince > AskPeerAfter;
 }
 
 absl::Duration EdgeDaemon::State::entriesAge() const {
@@ -90,10 +124,13 @@
   if (Newer.empty())
     this->NewerTableSince = Now;
   uint32_t Reader = this->readerOfRegion();
+  this->tellStoreUse(Reader);
   bool Direct = Reader == this->Peers.self().Ip || !this->ready() ||
                 this->Leaving || Now < this->DirectUntil;
-  if (Direct)
+  if (Direct) {
     this->followStore(true);
+    this->followTables();
+  }
   if (!Direct)
     this->askReader(Reader);
   else if (this->needsPeer())
@@ -134,7 +171,8 @@
 
 void EdgeDaemon::State::tookFromReader(
     const absl::StatusOr<PeerRecords> &Records, uint32_t Reader) {
-  if (!Records.ok() || Records->Age >= ReaderAgeBound) {
+  if (!Records.ok() ||
+      Records->Age >= this->Facts.Bounds.Drain * ReaderAgePart) {
     this->BadReaders[Reader] = this->Timer.now() + ReaderBadFor;
     this->DirectUntil = this->Timer.now() + DirectFor;
     this->FromReader = ReaderMark();
@@ -150,7 +188,7 @@
 int EdgeDaemon::State::rank() const {
   int Before = 0;
   for (const Peer *Each : this->Peers.live(this->Timer.now()))
-    if (Each->State.Ip < this->Peers.self().Ip && !Each->State.Leaving)
+    if (!Each->State.Leaving && writesBefore(Each->State, this->Peers.self()))
       Before += 1;
   return Before;
 }
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -16,6 +16,14 @@
 /// prompts delay others by less than the words about them would cost.
 constexpr absl::Duration WorkToTell = absl::Milliseconds(80);
 
+/// Part of the bound on work for a leaving replica after which its record is
+/// read; the rest covers the way to the other hosts and a failed read.
+constexpr double ReadPart = 0.24;
+
+/// While the store fails, reads of the replicas' entries find out when it is
+/// back; the other topics are read then.
+constexpr absl::Duration RareRetry = absl::Seconds(5);
+
 } // namespace
 
 ExchangeSettings EdgeDaemon::State::exchangeSettings() const {
@@ -69,7 +77,8 @@
   Ports.Write = [this](const RolloutOrder &Order, RolloutState Next,
                        AppendDone Done) {
     // Without the states so far, an end state might be written over.
-    if (this->States->next() == NoOffset) {
+    if (this->States->next() == NoOffset || this->States->paused()) {
+      this->States->resume();
       Done(absl::FailedPreconditionError("the states were not read yet"));
       return;
     }
@@ -140,7 +149,16 @@
   return absl::OkStatus();
 }
 
+/// Most hosts go over to a peer's records right after their first read.
+void EdgeDaemon::State::restAtStart(const std::shared_ptr<StoreFollower> &Which,
+                                    bool Whole) {
+  bool Reads = this->Peers.self().Store == StoreUse::Reads;
+  if (Whole && !Reads)
+    Which->pause();
+}
+
 void EdgeDaemon::State::follow() {
+  this->DirectSince = this->Timer.now();
   auto Follow = [this](FollowPlan Plan, StoreFollower::Hear Heard) {
     auto Made =
         std::make_shared<StoreFollower>(this->Platform.Store, this->Timer,
@@ -150,19 +168,28 @@
   };
   this->Operators =
       Follow({StoreTopic::Operators, "operators", this->Settings.OperatorWait,
-              absl::ZeroDuration()},
+              absl::ZeroDuration(), RareRetry},
              [this](const std::vector<StoreRecord> &Records, bool Whole) {
                this->operatorRecords(Records);
+               this->restAtStart(this->Operators, Whole);
+             });
+  this->States =
+      Follow({StoreTopic::RolloutStates, "rollout_states",
+              this->Settings.StateWait, absl::ZeroDuration(), RareRetry},
+             [this](const std::vector<StoreRecord> &Records, bool Whole) {
+               this->stateRecords(Records);
+               this->restAtStart(this->States, Whole);
              });
-  this->States = Follow({StoreTopic::RolloutStates, "rollout_states",
-                         this->Settings.StateWait, absl::ZeroDuration()},
-                        [this](const std::vector<StoreRecord> &Records,
-                               bool Whole) { this->stateRecords(Records); });
+  absl::Duration Period = std::max(this->Settings.ReplicaReads,
+                                   this->Facts.Bounds.Drain * ReadPart);
   this->Replicas =
-      Follow({StoreTopic::Replicas, "replicas", absl::ZeroDuration(),
-              this->Settings.ReplicaReads},
+      Follow({StoreTopic::Replicas, "replicas", absl::ZeroDuration(), Period},
              [this](const std::vector<StoreRecord> &Records, bool Whole) {
                this->replicaRecords(Records, Whole, this->storeJustBack());
+               this->Operators->nudge();
+               this->States->nudge();
+               if (this->FromReader.Ip != 0 && !this->FromReader.Settled)
+                 this->askPeer();
              });
   StoreRecord Own{this->Facts.Name.text(), this->Facts.Ip};
   this->Platform.Store.Append(
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -58,10 +58,12 @@
 
   absl::Status start();
   void follow();
+  void restAtStart(const std::shared_ptr<StoreFollower> &Which, bool Whole);
   void tick();
   void sweep();
   void askPeer();
   uint32_t readerOfRegion() const;
+  void tellStoreUse(uint32_t Reader);
   bool needsPeer() const;
   void askReader(uint32_t Reader);
   void askAnyPeer(const std::vector<uint32_t> &From);
@@ -69,6 +71,8 @@
                       uint32_t Reader);
   absl::Duration entriesAge() const;
   void followStore(bool Direct);
+  void followTables();
+  bool storeServes() const;
   void noticePause();
   std::unique_ptr<HttpListener> listener(RequestHandler Handler);
   ExchangeSettings exchangeSettings() const;
@@ -119,6 +123,7 @@
   std::set<std::string> BadKeys;
   Instant NewerTableSince;
   Instant DirectUntil;
+  Instant DirectSince;
   ReaderMark FromReader;
   /// How new the replicas' entries are that a peer gave.
   Instant PeerEntriesAsOf{-absl::InfiniteDuration()};
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -11,7 +11,6 @@
 /// Pause after a failed read: doubles, with jitter, so that hosts which lost
 /// the store together do not return together.
 constexpr absl::Duration FirstBackoff = absl::Milliseconds(100);
-constexpr absl::Duration LongestBackoff = absl::Milliseconds(1200);
 /// Pause between reads that wait, so that a burst of records costs few calls.
 constexpr absl::Duration ShortestPause = absl::Milliseconds(20);
 /// A refused call was one too many for all hosts together.
@@ -81,7 +80,8 @@
       logEvent(LogLevel::Warn, "store_lost", Line);
     }
     this->Reachable = false;
-    this->Backoff = std::clamp(this->Backoff * 2, FirstBackoff, LongestBackoff);
+    this->Backoff =
+        std::clamp(this->Backoff * 2, FirstBackoff, this->Plan.LongestBackoff);
     if (absl::IsResourceExhausted(Page.status()))
       this->Backoff = std::max(this->Backoff, RefusedPause);
     this->again(this->Backoff * jitter(), Whole);
@@ -102,18 +102,30 @@
 }
 
 void StoreFollower::again(absl::Duration After, bool Whole) {
-  this->Timer.after(After, [Weak = this->weak_from_this(), Whole] {
-    auto Self = Weak.lock();
-    if (!Self || Self->Stopped)
-      return;
-    Self->Active = false;
-    if (Self->Paused)
-      return;
-    if (Whole)
-      Self->readNewest();
-    else
-      Self->readOn();
-  });
+  this->Resting = true;
+  this->Rest += 1;
+  this->Timer.after(
+      After, [Weak = this->weak_from_this(), Whole, Number = this->Rest] {
+        auto Self = Weak.lock();
+        if (Self && Self->Resting && Self->Rest == Number)
+          Self->rested(Whole);
+      });
+}
+
+void StoreFollower::rested(bool Whole) {
+  this->Resting = false;
+  this->Active = false;
+  if (this->Stopped || this->Paused)
+    return;
+  if (Whole || this->Next == NoOffset)
+    this->readNewest();
+  else
+    this->readOn();
+}
+
+void StoreFollower::nudge() {
+  if (!this->Reachable && this->Resting)
+    this->rested(false);
 }
 
 } // namespace berylramp
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -15,6 +15,8 @@
   absl::Duration Wait;
   /// Time between reads.
   absl::Duration Period;
+  /// The longest pause after a failed read.
+  absl::Duration LongestBackoff = absl::Milliseconds(1200);
 };
 
 /// Hands over the newest records of a topic, then each further one.
@@ -35,6 +37,8 @@
   void pause() { this->Paused = true; }
   /// Reads on; from the newest records where nothing was read yet.
   void resume();
+  /// Reads now where reads failed and the next one waits.
+  void nudge();
   /// Continues behind what a peer has read, where that is further.
   void skipTo(Offset From);
   bool paused() const { return this->Paused; }
@@ -52,6 +56,7 @@
   void readNewest();
   void readOn();
   void took(const absl::StatusOr<StorePage> &Page, bool Whole);
+  void rested(bool Whole);
   void again(absl::Duration After, bool Whole);
 
   const StorePort &Store;
@@ -70,6 +75,10 @@
   bool Paused = false;
   /// A read or the pause before one is under way.
   bool Active = false;
+  /// True in the pause before a read; a pause that was cut short has another
+  /// number than the current one.
+  bool Resting = false;
+  int64_t Rest = 0;
 };
 
 } // namespace berylramp
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// Marks the layout; a datagram of another layout is ignored.
-constexpr int LayoutVersion = 1;
+constexpr int LayoutVersion = 2;
 /// Marks a datagram with a note of work.
 constexpr int WorkLayout = 101;
 /// Fits one Ethernet frame with its headers.
@@ -47,7 +47,7 @@
   Out.pack(Note.ElapsedMs);
 }
 
-constexpr uint32_t StateFields = 8;
+constexpr uint32_t StateFields = 9;
 
 void packState(Packer &Out, const PeerState &State) {
   Out.pack_array(StateFields);
@@ -57,6 +57,7 @@
   Out.pack(State.Place.text());
   Out.pack(State.Ready);
   Out.pack(State.Leaving);
+  Out.pack(static_cast<int>(State.Store));
   Out.pack(State.Table.count());
   Out.pack_array(static_cast<uint32_t>(State.Rollouts.size()));
   for (const RolloutNote &Note : State.Rollouts)
@@ -96,6 +97,13 @@
   return Note;
 }
 
+StoreUse storeUseFrom(const msgpack::object &From) {
+  int Value = From.as<int>();
+  if (Value < 0 || Value > static_cast<int>(StoreUse::Away))
+    throw msgpack::type_error();
+  return static_cast<StoreUse>(Value);
+}
+
 PeerState stateFrom(const msgpack::object &From) {
   const msgpack::object *Fields = listOf(From, StateFields);
   PeerState State;
@@ -105,8 +113,9 @@
   State.Place = PlaceId(Fields[3].as<std::string>());
   State.Ready = Fields[4].as<bool>();
   State.Leaving = Fields[5].as<bool>();
-  State.Table = TableVersion(Fields[6].as<int64_t>());
-  const msgpack::object &Notes = Fields[7];
+  State.Store = storeUseFrom(Fields[6]);
+  State.Table = TableVersion(Fields[7].as<int64_t>());
+  const msgpack::object &Notes = Fields[8];
   if (Notes.type != msgpack::type::ARRAY)
     throw msgpack::type_error();
   for (uint32_t Index = 0; Index < Notes.via.array.size; ++Index)
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -55,6 +55,40 @@
         std::vector<uint32_t>{3});
 }
 
+TEST_CASE("The host that reads for a region keeps to it") {
+  PeerState A = hostOf(1, "a1");
+  PeerState B = hostOf(2, "a1");
+  PeerState C = hostOf(3, "a1");
+  for (PeerState *Each : {&A, &B, &C})
+    Each->Ready = true;
+  CHECK(chooseReader({&A, &B, &C}, 9) == 1);
+  B.Store = StoreUse::Reads;
+  CHECK(chooseReader({&A, &B, &C}, 9) == 2);
+  C.Store = StoreUse::Reads;
+  CHECK(chooseReader({&C, &B, &A}, 9) == 2);
+}
+
+TEST_CASE("Hosts that read the store write states before others") {
+  PeerState A = hostOf(1, "a1");
+  PeerState B = hostOf(2, "a1");
+  CHECK(writesBefore(A, B));
+  CHECK_FALSE(writesBefore(B, A));
+  B.Store = StoreUse::Reads;
+  CHECK(writesBefore(B, A));
+  CHECK_FALSE(writesBefore(A, B));
+}
+
+TEST_CASE("A host that the store does not serve reads for nobody") {
+  PeerState A = hostOf(1, "a1");
+  PeerState B = hostOf(2, "a1");
+  A.Ready = true;
+  B.Ready = true;
+  A.Store = StoreUse::Away;
+  CHECK(chooseReader({&A, &B}, 9) == 2);
+  B.Leaving = true;
+  CHECK(chooseReader({&A, &B}, 9) == 9);
+}
+
 TEST_CASE("A peer gets what changed since it asked") {
   RecordBook Book(Incarnation(1));
   Book.put(StoreTopic::Operators, {"t", "one"});
