Let a timer that is queued already be taken back

A timer of the loop that has expired can't be cancelled any more. A kept connection's idle time ran out while the table was parsed; in the next turn its request was read and passed on, then the queued timer closed the connection under it. The same held for the watch on a silent replica, the deadline and small calls.

Change: Alarm, one class for timers that are set anew or taken back; an alarm that meets bytes which wait in the socket lets them be read first.

A table is still parsed in one turn of the loop.

--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -3,9 +3,9 @@
 #ifndef BERYLRAMP_EXCHANGE_ATTEMPT_H
 #define BERYLRAMP_EXCHANGE_ATTEMPT_H
 
+#include "alarm.h"
 #include "events.h"
 #include "upstream_connection.h"
-#include <boost/asio/steady_timer.hpp>
 
 namespace berylramp {
 
@@ -59,16 +59,17 @@
 
   /// Ends the attempt when nothing has come for \p After.
   void watch(absl::Duration After) {
-    this->Clock.expires_after(absl::ToChronoNanoseconds(After));
-    this->Clock.async_wait(
-        [Weak = this->weak_from_this()](const boost::system::error_code &E) {
-          auto Self = Weak.lock();
-          if (Self && !E)
-            Self->silent();
-        });
+    this->Clock.set(After, [Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->silent();
+    });
   }
 
   void silent() {
+    if (this->Wire->hasUnread()) {
+      this->watch(UnreadTime);
+      return;
+    }
     auto Up = this->Owner.lock();
     if (!Up)
       return;
@@ -87,7 +88,7 @@
   ReplicaPtr To;
   Choice Expected;
   std::weak_ptr<AttemptOwner> Owner;
-  boost::asio::steady_timer Clock;
+  Alarm Clock;
   UpstreamConnectionPtr Wire;
   Instant SentAt;
   absl::Duration FirstByteWithin;
--- a/src/exchange/caller.cpp
+++ b/src/exchange/caller.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "alarm.h"
 #include "channel.h"
 #include "http_parse.h"
 
@@ -31,7 +32,7 @@
     this->Queue.pop_front();
     this->Ends = this->Timer.now() + this->Current->Call.Timeout;
     this->LastByte = this->Timer.now();
-    this->watch();
+    this->watch(this->patience() - this->Timer.now());
     this->Kept = this->Wire != nullptr && this->Wire->isOpen();
     this->write();
   }
@@ -42,14 +43,11 @@
                     this->LastByte + this->Current->Call.SilenceTime);
   }
 
-  void watch() {
-    absl::Duration Left = this->patience() - this->Timer.now();
-    this->Clock.expires_after(absl::ToChronoNanoseconds(Left));
-    this->Clock.async_wait(
-        [Weak = this->weak_from_this()](const boost::system::error_code &E) {
-          if (auto Self = Weak.lock(); Self && !E)
-            Self->expired();
-        });
+  void watch(absl::Duration After) {
+    this->Clock.set(After, [Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->expired();
+    });
   }
 
   void write() {
@@ -115,10 +113,12 @@
   }
 
   void expired() {
-    if (this->Current == nullptr)
-      return;
     if (this->Timer.now() < this->patience()) {
-      this->watch();
+      this->watch(this->patience() - this->Timer.now());
+      return;
+    }
+    if (this->Wire != nullptr && this->Wire->hasUnread()) {
+      this->watch(UnreadTime);
       return;
     }
     this->fail(absl::DeadlineExceededError(
@@ -154,7 +154,7 @@
   boost::asio::io_context &Loop;
   TimerService &Timer;
   Endpoint To;
-  boost::asio::steady_timer Clock;
+  Alarm Clock;
   std::deque<Item> Queue;
   std::unique_ptr<Item> Current;
   std::shared_ptr<Channel> Wire;
--- a/src/exchange/channel.cpp
+++ b/src/exchange/channel.cpp
@@ -125,6 +125,12 @@
     this->close();
 }
 
+bool Channel::hasUnread() const {
+  ErrorCode Error;
+  size_t Count = this->Open ? this->Socket.available(Error) : 0;
+  return !Error && Count > 0;
+}
+
 void Channel::waitReadable() {
   if (!this->Open || this->Reading || this->Paused)
     return;
--- a/src/exchange/channel.h
+++ b/src/exchange/channel.h
@@ -51,6 +51,8 @@
   /// Closes now with a reset, so that nothing looks complete.
   void reset();
 
+  /// Whether bytes wait in the socket that were not read yet.
+  bool hasUnread() const;
   bool isOpen() const { return this->Open; }
   size_t unsent() const { return this->Unsent; }
   /// True once any byte was handed to the kernel.
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -5,11 +5,13 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "alarm.h"
 #include "channel.h"
 #include "http_parse.h"
 
 #include "absl/strings/str_cat.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <unordered_set>
 
 namespace berylramp {
@@ -90,8 +92,8 @@
   };
 
   CallerConnection(boost::asio::io_context &Loop, tcp::socket Socket, Owner Up)
-      : Wire(std::make_shared<Channel>(std::move(Socket))), Clock(Loop),
-        Up(std::move(Up)) {}
+      : Loop(Loop), Wire(std::make_shared<Channel>(std::move(Socket))),
+        Clock(Loop), Up(std::move(Up)) {}
 
   void start() {
     this->Wire->setUser(this->weak_from_this());
@@ -252,24 +254,25 @@
     this->Wire->resumeReading();
     // Not from within this call: a pipelined request may be answered at once.
     if (!this->Buffer.empty())
-      boost::asio::post(this->Clock.get_executor(),
-                        [Self = this->shared_from_this()] {
-                          if (!Self->Busy && Self->Wire->isOpen())
-                            Self->parse();
-                        });
+      boost::asio::post(this->Loop, [Self = this->shared_from_this()] {
+        if (!Self->Busy && Self->Wire->isOpen())
+          Self->parse();
+      });
   }
 
   void arm(absl::Duration After) {
-    this->Clock.expires_after(absl::ToChronoNanoseconds(After));
-    this->Clock.async_wait(
-        [Weak = this->weak_from_this()](const boost::system::error_code &E) {
-          if (auto Self = Weak.lock(); Self && !E)
-            Self->expired();
-        });
+    this->Clock.set(After, [Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->expired();
+    });
   }
 
   void expired() {
-    if (this->Busy || this->Parser == nullptr || !this->Parser->started()) {
+    if (this->Parser != nullptr && this->Wire->hasUnread()) {
+      this->arm(UnreadTime);
+      return;
+    }
+    if (this->Parser == nullptr || !this->Parser->started()) {
       this->shut();
       return;
     }
@@ -290,8 +293,9 @@
     this->Up.Forget(Self);
   }
 
+  boost::asio::io_context &Loop;
   std::shared_ptr<Channel> Wire;
-  boost::asio::steady_timer Clock;
+  Alarm Clock;
   Owner Up;
   CallerLimits Limits;
   std::unique_ptr<RequestParser> Parser;
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -136,12 +136,10 @@
     Has = absl::Milliseconds(Ms) - AnswerMargin;
   Has = std::min(Has, this->Which->Timeout);
   this->DeadlineAt = this->Request.ArrivedAt + Has;
-  this->Deadline.expires_after(absl::ToChronoNanoseconds(Has));
-  this->Deadline.async_wait(
-      [Weak = this->weak_from_this()](const boost::system::error_code &E) {
-        if (auto Self = Weak.lock(); Self && !E)
-          Self->expired();
-      });
+  this->Deadline.set(Has, [Weak = this->weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->expired();
+  });
 }
 
 ChoiceQuery Relay::query() const {
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -81,7 +81,7 @@
   bool ChoosesModel = false;
   RunLedger Ledger{Repeat::AtMostOnce};
   Instant DeadlineAt;
-  boost::asio::steady_timer Deadline;
+  Alarm Deadline;
   std::shared_ptr<Attempt> Current;
   std::vector<UpstreamId> Tried;
   std::string LastReplica;
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -45,6 +45,7 @@
              std::weak_ptr<AnswerListener> Heard);
   /// Gives the answer up and closes.
   void cancel();
+  bool hasUnread() const { return this->Wire->hasUnread(); }
   bool isConnected() const { return this->Connected; }
   /// False once any byte of the request was handed to the kernel.
   bool nothingSent() const { return !this->Wire->hasSent(); }
