Let hosts go on at any peer by the store's offsets

Cause: a host that changed its reader, or came up, had to read the store once more after it had the reader's mark, as marks of one host mean nothing at another.

Ruled out: leaving entries out by age alone (misses what changed between).

Change: the book tags a record with the offset of the store before which it lies; a query names the offsets that the asking host has reached. Marks, lives and ages of queries are gone. States of roll-outs can be written by a host that follows a peer. The log line of a request names the engine's running requests and the time that was expected to its first byte.

--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -26,8 +26,7 @@
 /// Part of the bound on work for a leaving replica. Records older than this at
 /// the host that reads for the region have this host read the store itself.
 constexpr double ReaderAgePart = 0.52;
-/// With hundreds of hosts a beat takes seconds to come around. A change of the
-/// reader costs all records, so that a host is passed over only after this.
+/// With hundreds of hosts a beat takes seconds to come around.
 constexpr absl::Duration ReaderHeardWithin = absl::Seconds(10);
 /// A reader that failed is passed over for this long.
 constexpr absl::Duration ReaderBadFor = absl::Seconds(8);
@@ -137,13 +136,16 @@
     this->askAnyPeer(Newer.empty() ? Any : Newer);
 }
 
+PeerQuery EdgeDaemon::State::peerQuery() const {
+  return {this->Operators->next(), this->States->next(),
+          this->Replicas->next()};
+}
+
 void EdgeDaemon::State::askAnyPeer(const std::vector<uint32_t> &From) {
   if (From.empty())
     return;
-  PeerQuery Query;
-  Query.OwnAge = this->entriesAge();
   auto Weak = this->weak_from_this();
-  this->Link->fetch(From[randomDraw() % From.size()], Query,
+  this->Link->fetch(From[randomDraw() % From.size()], this->peerQuery(),
                     [Weak](const absl::StatusOr<PeerRecords> &Records) {
                       auto Self = Weak.lock();
                       if (Self && Records.ok())
@@ -152,17 +154,8 @@
 }
 
 void EdgeDaemon::State::askReader(uint32_t Reader) {
-  bool Marked = this->FromReader.Ip == Reader;
-  bool Pending = Marked && !this->FromReader.Settled;
-  bool ReadSince = this->FromReader.TakenAt < this->Replicas->lastGoodBegan();
-  if (Pending && this->Replicas->reachable() && !ReadSince)
-    return;
-  PeerQuery Query;
-  Query.OwnAge = this->entriesAge();
-  if (Marked && (this->FromReader.Settled || ReadSince))
-    Query.Since = this->FromReader.Mark;
   auto Weak = this->weak_from_this();
-  this->Link->fetch(Reader, Query,
+  this->Link->fetch(Reader, this->peerQuery(),
                     [Weak, Reader](const absl::StatusOr<PeerRecords> &Records) {
                       if (auto Self = Weak.lock())
                         Self->tookFromReader(Records, Reader);
@@ -175,14 +168,11 @@
       Records->Age >= this->Facts.Bounds.Drain * ReaderAgePart) {
     this->BadReaders[Reader] = this->Timer.now() + ReaderBadFor;
     this->DirectUntil = this->Timer.now() + DirectFor;
-    this->FromReader = ReaderMark();
     this->followStore(true);
     return;
   }
   this->peerRecords(*Records);
-  this->FromReader = {Reader, Records->Mark, this->Timer.now(),
-                      !Records->ReplicasLeftOut};
-  this->followStore(Records->ReplicasLeftOut);
+  this->followStore(false);
 }
 
 int EdgeDaemon::State::rank() const {
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -34,14 +34,14 @@
   logEvent(LogLevel::Warn, "record_skipped", Line);
 }
 
-void EdgeDaemon::State::operatorRecords(
-    const std::vector<StoreRecord> &Records) {
+void EdgeDaemon::State::operatorRecords(const std::vector<StoreRecord> &Records,
+                                        Offset ReadTo) {
   for (const StoreRecord &Each : Records) {
     if (!Each.Value)
       continue;
     OperatorKey Kind = this->Platform.Codec.Classify(Each.Key);
     if (Kind == OperatorKey::Table) {
-      this->takeTable(Each.Key, *Each.Value);
+      this->takeTable(Each, ReadTo);
       continue;
     }
     if (Kind != OperatorKey::Rollout)
@@ -52,20 +52,20 @@
       this->skipped(Each.Key, Order.status());
       continue;
     }
-    this->Book.put(StoreTopic::Operators, Each);
+    this->Book.put(StoreTopic::Operators, Each, ReadTo);
     this->Rollouts->ordered(*Order);
     std::string Key = this->Platform.Codec.RolloutKey(Order->Service);
     const std::string *Known = this->Book.find(StoreTopic::RolloutStates, Key);
     if (Known != nullptr)
-      this->stateRecords({StoreRecord{Key, *Known}});
+      this->stateRecords({StoreRecord{Key, *Known}}, ReadTo);
   }
 }
 
-void EdgeDaemon::State::takeTable(const std::string &Key,
-                                  const std::string &Text) {
-  absl::StatusOr<RouteTable> Decoded = this->Platform.Codec.DecodeTable(Text);
+void EdgeDaemon::State::takeTable(const StoreRecord &Record, Offset ReadTo) {
+  absl::StatusOr<RouteTable> Decoded =
+      this->Platform.Codec.DecodeTable(*Record.Value);
   if (!Decoded.ok()) {
-    this->skipped(Key, Decoded.status());
+    this->skipped(Record.Key, Decoded.status());
     return;
   }
   TableVersion Known = this->Table ? this->Table->Version : NoTable;
@@ -77,16 +77,17 @@
   Line["routes"] = Json::Int64(Decoded->Routes.size());
   this->Table = std::make_shared<RouteTable>(*std::move(Decoded));
   this->Peers.self().Table = this->Table->Version;
-  this->Book.put(StoreTopic::Operators, {Key, Text});
+  this->Book.put(StoreTopic::Operators, Record, ReadTo);
   this->Counters.count(Counter::EditsAccepted);
   logEvent(LogLevel::Info, "table_in_force", Line);
 }
 
-void EdgeDaemon::State::stateRecords(const std::vector<StoreRecord> &Records) {
+void EdgeDaemon::State::stateRecords(const std::vector<StoreRecord> &Records,
+                                     Offset ReadTo) {
   for (const StoreRecord &Each : Records) {
     if (!Each.Value)
       continue;
-    this->Book.put(StoreTopic::RolloutStates, Each);
+    this->Book.put(StoreTopic::RolloutStates, Each, ReadTo);
     auto Decoded = this->Platform.Codec.DecodeRolloutState(*Each.Value);
     if (!Decoded.ok()) {
       this->skipped(Each.Key, Decoded.status());
@@ -98,7 +99,7 @@
   }
 }
 
-void EdgeDaemon::State::takeReplica(const StoreRecord &Record,
+void EdgeDaemon::State::takeReplica(const StoreRecord &Record, Offset ReadTo,
                                     absl::Duration Usable) {
   Instant Now = this->Timer.now();
   UpstreamId Id(Record.Key);
@@ -106,7 +107,7 @@
   Json::Value Line(Json::objectValue);
   Line["replica"] = Record.Key;
   if (!Record.Value) {
-    this->Book.put(StoreTopic::Replicas, Record);
+    this->Book.put(StoreTopic::Replicas, Record, ReadTo);
     this->Registry.remove(Id, Now, Usable);
     Line["usable_ms"] = Json::Int64(absl::ToInt64Milliseconds(Usable));
     if (Known != nullptr)
@@ -117,7 +118,7 @@
       this->Platform.Codec.DecodeReplica(Record.Key, *Record.Value);
   if (!Entry.ok()) {
     this->skipped(Record.Key, Entry.status());
-    this->Book.put(StoreTopic::Replicas, {Record.Key, std::nullopt});
+    this->Book.put(StoreTopic::Replicas, {Record.Key, std::nullopt}, ReadTo);
     this->Registry.evict(Id, Now);
     return;
   }
@@ -125,7 +126,7 @@
   if (Same)
     return;
   // Beats change the text; peers hear only of what matters.
-  this->Book.put(StoreTopic::Replicas, Record);
+  this->Book.put(StoreTopic::Replicas, Record, ReadTo);
   Line["service"] = Entry->Service.text();
   Line["address"] = Entry->Address.text();
   Line["version"] = Entry->Version.text();
@@ -139,18 +140,18 @@
          this->Timer.now() - this->Replicas->regainedAt() < LapsedReturn;
 }
 
-void EdgeDaemon::State::replicaRecords(const std::vector<StoreRecord> &Records,
-                                       bool Whole, bool JustBack) {
+void EdgeDaemon::State::replicaRecords(const RecordBatch &Batch,
+                                       bool JustBack) {
   absl::Duration Usable = JustBack ? LapsedReturn : absl::ZeroDuration();
   std::set<std::string> Seen;
-  for (const StoreRecord &Each : Records) {
-    this->takeReplica(Each, Usable);
+  for (const StoreRecord &Each : Batch.Records) {
+    this->takeReplica(Each, Batch.Next, Usable);
     Seen.insert(Each.Key);
   }
-  if (Whole)
+  if (Batch.Whole)
     for (const UpstreamId &Id : this->Registry.ids())
       if (Seen.count(Id.text()) == 0)
-        this->takeReplica({Id.text(), std::nullopt}, Usable);
+        this->takeReplica({Id.text(), std::nullopt}, Batch.Next, Usable);
   this->Registry.sweep(this->Timer.now());
 }
 
@@ -160,15 +161,25 @@
       this->Peers.introduce(parseIp(*Each.Value), this->Timer.now());
 }
 
+void EdgeDaemon::State::reached(StoreTopic Topic, StoreFollower &Follower,
+                                const RecordBatch &Batch) {
+  if (Batch.Next == NoOffset)
+    return;
+  this->Book.reached(Topic, Batch.Next, Batch.Whole);
+  Follower.skipTo(Batch.Next);
+}
+
 void EdgeDaemon::State::peerRecords(const PeerRecords &Records) {
-  this->operatorRecords(Records.Operators);
-  this->stateRecords(Records.States);
-  bool Newer = this->Replicas->paused() || Records.Age < this->entriesAge();
-  if (!Newer || Records.ReplicasLeftOut)
+  this->operatorRecords(Records.Operators.Records, Records.Operators.Next);
+  this->reached(StoreTopic::Operators, *this->Operators, Records.Operators);
+  this->stateRecords(Records.States.Records, Records.States.Next);
+  this->reached(StoreTopic::RolloutStates, *this->States, Records.States);
+  // A peer that has read less than this host would take entries back.
+  if (Records.Replicas.Next < this->Replicas->next())
     return;
-  this->replicaRecords(Records.Replicas, Records.Whole, Records.StoreJustBack);
+  this->replicaRecords(Records.Replicas, Records.StoreJustBack);
+  this->reached(StoreTopic::Replicas, *this->Replicas, Records.Replicas);
   this->PeerEntriesAsOf = this->Timer.now() + -Records.Age;
-  this->Replicas->skipTo(Records.ReplicasNext);
 }
 
 } // namespace berylramp
--- a/src/edge/edge_serve.cpp
+++ b/src/edge/edge_serve.cpp
@@ -80,9 +80,12 @@
     Answer->sendWhole(headOf(404), "", false);
     return;
   }
-  PeerRecords Records =
-      this->Book.answer(decodePeerQuery(Request.Target), this->entriesAge());
-  Records.ReplicasNext = this->Replicas->next();
+  PeerQuery Query = decodePeerQuery(Request.Target);
+  PeerRecords Records;
+  Records.Operators = this->Book.since(StoreTopic::Operators, Query.Operators);
+  Records.States = this->Book.since(StoreTopic::RolloutStates, Query.States);
+  Records.Replicas = this->Book.since(StoreTopic::Replicas, Query.Replicas);
+  Records.Age = this->entriesAge();
   Records.StoreJustBack = this->storeJustBack();
   HttpHead Head = headOf(200);
   Head.Headers.emplace_back("Content-Type", "application/json");
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -77,8 +77,7 @@
   Ports.Write = [this](const RolloutOrder &Order, RolloutState Next,
                        AppendDone Done) {
     // Without the states so far, an end state might be written over.
-    if (this->States->next() == NoOffset || this->States->paused()) {
-      this->States->resume();
+    if (this->States->next() == NoOffset) {
       Done(absl::FailedPreconditionError("the states were not read yet"));
       return;
     }
@@ -169,27 +168,29 @@
   this->Operators =
       Follow({StoreTopic::Operators, "operators", this->Settings.OperatorWait,
               absl::ZeroDuration(), RareRetry},
-             [this](const std::vector<StoreRecord> &Records, bool Whole) {
-               this->operatorRecords(Records);
+             [this](const StorePage &Page, bool Whole) {
+               this->operatorRecords(Page.Records, Page.Next);
+               this->Book.reached(StoreTopic::Operators, Page.Next, Whole);
                this->restAtStart(this->Operators, Whole);
              });
   this->States =
       Follow({StoreTopic::RolloutStates, "rollout_states",
               this->Settings.StateWait, absl::ZeroDuration(), RareRetry},
-             [this](const std::vector<StoreRecord> &Records, bool Whole) {
-               this->stateRecords(Records);
+             [this](const StorePage &Page, bool Whole) {
+               this->stateRecords(Page.Records, Page.Next);
+               this->Book.reached(StoreTopic::RolloutStates, Page.Next, Whole);
                this->restAtStart(this->States, Whole);
              });
   absl::Duration Period = std::max(this->Settings.ReplicaReads,
                                    this->Facts.Bounds.Drain * ReadPart);
   this->Replicas =
       Follow({StoreTopic::Replicas, "replicas", absl::ZeroDuration(), Period},
-             [this](const std::vector<StoreRecord> &Records, bool Whole) {
-               this->replicaRecords(Records, Whole, this->storeJustBack());
+             [this](const StorePage &Page, bool Whole) {
+               this->replicaRecords({Page.Next, Whole, Page.Records},
+                                    this->storeJustBack());
+               this->Book.reached(StoreTopic::Replicas, Page.Next, Whole);
                this->Operators->nudge();
                this->States->nudge();
-               if (this->FromReader.Ip != 0 && !this->FromReader.Settled)
-                 this->askPeer();
              });
   StoreRecord Own{this->Facts.Name.text(), this->Facts.Ip};
   this->Platform.Store.Append(
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -21,23 +21,12 @@
 inline constexpr double RetryPart = 0.75;
 inline constexpr double SlackPart = 0.8;
 
-/// What a host has of the records of the host that reads for its region.
-struct ReaderMark {
-  uint32_t Ip = 0;
-  BookMark Mark;
-  Instant TakenAt;
-  /// False until a read of the store that began after the mark was given:
-  /// only then is nothing before the mark missing here.
-  bool Settled = false;
-};
-
 struct EdgeDaemon::State : std::enable_shared_from_this<EdgeDaemon::State> {
   State(boost::asio::io_context &Loop, LoopTimer &Timer, HostFacts Facts,
         EdgePlatform Platform, EdgeSettings Settings)
       : Loop(Loop), Timer(Timer), Facts(std::move(Facts)),
         Platform(std::move(Platform)), Settings(Settings),
-        Registry(this->choiceSettings()), Peers(this->ownState()),
-        Book(this->Peers.self().Life) {}
+        Registry(this->choiceSettings()), Peers(this->ownState()) {}
 
   ChoiceSettings choiceSettings() const {
     ChoiceSettings Out;
@@ -66,6 +55,7 @@
   void tellStoreUse(uint32_t Reader);
   bool needsPeer() const;
   void askReader(uint32_t Reader);
+  PeerQuery peerQuery() const;
   void askAnyPeer(const std::vector<uint32_t> &From);
   void tookFromReader(const absl::StatusOr<PeerRecords> &Records,
                       uint32_t Reader);
@@ -78,14 +68,16 @@
   ExchangeSettings exchangeSettings() const;
   ExchangeHooks exchangeHooks();
 
-  void operatorRecords(const std::vector<StoreRecord> &Records);
-  void takeTable(const std::string &Key, const std::string &Text);
-  void stateRecords(const std::vector<StoreRecord> &Records);
-  void replicaRecords(const std::vector<StoreRecord> &Records, bool Whole,
-                      bool JustBack);
+  void operatorRecords(const std::vector<StoreRecord> &Records, Offset ReadTo);
+  void takeTable(const StoreRecord &Record, Offset ReadTo);
+  void stateRecords(const std::vector<StoreRecord> &Records, Offset ReadTo);
+  void replicaRecords(const RecordBatch &Batch, bool JustBack);
+  void reached(StoreTopic Topic, StoreFollower &Follower,
+               const RecordBatch &Batch);
   bool storeJustBack() const;
   void peerRecords(const PeerRecords &Records);
-  void takeReplica(const StoreRecord &Record, absl::Duration Usable);
+  void takeReplica(const StoreRecord &Record, Offset ReadTo,
+                   absl::Duration Usable);
   void skipped(const std::string &Key, const absl::Status &Why);
   void hostRecords(const std::vector<StoreRecord> &Records);
 
@@ -124,7 +116,6 @@
   Instant NewerTableSince;
   Instant DirectUntil;
   Instant DirectSince;
-  ReaderMark FromReader;
   /// How new the replicas' entries are that a peer gave.
   Instant PeerEntriesAsOf{-absl::InfiniteDuration()};
   /// Hosts that did not serve as the region's reader, and until when they are
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 void StoreFollower::skipTo(Offset From) {
-  if (this->Paused && !this->Active && From > this->Next)
+  bool Reading = this->Active && !this->Resting;
+  if (!Reading && From > this->Next)
     this->Next = From;
 }
 
@@ -42,7 +43,6 @@
 
 void StoreFollower::readNewest() {
   this->Active = true;
-  this->Began = this->Timer.now();
   this->Counters.count(Counter::LogReads);
   this->Store.Newest(
       this->Plan.Topic,
@@ -54,7 +54,6 @@
 
 void StoreFollower::readOn() {
   this->Active = true;
-  this->Began = this->Timer.now();
   this->Counters.count(Counter::LogReads);
   this->Store.Read(
       this->Plan.Topic, this->Next, this->Plan.Wait,
@@ -84,11 +83,10 @@
         std::clamp(this->Backoff * 2, FirstBackoff, this->Plan.LongestBackoff);
     if (absl::IsResourceExhausted(Page.status()))
       this->Backoff = std::max(this->Backoff, RefusedPause);
-    this->again(this->Backoff * jitter(), Whole);
+    this->again(this->Backoff * jitter());
     return;
   }
   this->LastGood = this->Timer.now();
-  this->LastGoodBegan = this->Began;
   this->Backoff = absl::ZeroDuration();
   if (!this->Reachable) {
     this->RegainedAt = this->LastGood;
@@ -96,28 +94,28 @@
     logEvent(LogLevel::Info, "store_regained", Line);
   }
   this->Next = Page->Next;
-  this->Heard(Page->Records, Whole);
+  this->Heard(*Page, Whole);
   bool Waits = this->Plan.Wait > absl::ZeroDuration();
-  this->again(Waits ? ShortestPause : this->Plan.Period * jitter(), false);
+  this->again(Waits ? ShortestPause : this->Plan.Period * jitter());
 }
 
-void StoreFollower::again(absl::Duration After, bool Whole) {
+void StoreFollower::again(absl::Duration After) {
   this->Resting = true;
   this->Rest += 1;
-  this->Timer.after(
-      After, [Weak = this->weak_from_this(), Whole, Number = this->Rest] {
-        auto Self = Weak.lock();
-        if (Self && Self->Resting && Self->Rest == Number)
-          Self->rested(Whole);
-      });
+  this->Timer.after(After,
+                    [Weak = this->weak_from_this(), Number = this->Rest] {
+                      auto Self = Weak.lock();
+                      if (Self && Self->Resting && Self->Rest == Number)
+                        Self->rested();
+                    });
 }
 
-void StoreFollower::rested(bool Whole) {
+void StoreFollower::rested() {
   this->Resting = false;
   this->Active = false;
   if (this->Stopped || this->Paused)
     return;
-  if (Whole || this->Next == NoOffset)
+  if (this->Next == NoOffset)
     this->readNewest();
   else
     this->readOn();
@@ -125,7 +123,7 @@
 
 void StoreFollower::nudge() {
   if (!this->Reachable && this->Resting)
-    this->rested(false);
+    this->rested();
 }
 
 } // namespace berylramp
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -23,8 +23,7 @@
 class StoreFollower : public std::enable_shared_from_this<StoreFollower> {
 public:
   /// \p Whole: the records are all keys that exist.
-  using Hear =
-      std::function<void(const std::vector<StoreRecord> &, bool Whole)>;
+  using Hear = std::function<void(const StorePage &, bool Whole)>;
 
   StoreFollower(const StorePort &Store, LoopTimer &Timer, Metrics &Counters,
                 FollowPlan Plan, Hear Heard)
@@ -46,9 +45,8 @@
   Offset next() const { return this->Next; }
   /// False while reads fail.
   bool reachable() const { return this->Reachable; }
-  /// When the last read that worked was answered, and when it began.
+  /// When the last read that worked was answered.
   Instant lastGood() const { return this->LastGood; }
-  Instant lastGoodBegan() const { return this->LastGoodBegan; }
   /// When reads began to work again after a failure.
   Instant regainedAt() const { return this->RegainedAt; }
 
@@ -56,8 +54,8 @@
   void readNewest();
   void readOn();
   void took(const absl::StatusOr<StorePage> &Page, bool Whole);
-  void rested(bool Whole);
-  void again(absl::Duration After, bool Whole);
+  void rested();
+  void again(absl::Duration After);
 
   const StorePort &Store;
   LoopTimer &Timer;
@@ -66,8 +64,6 @@
   Hear Heard;
   Offset Next = NoOffset;
   Instant LastGood;
-  Instant LastGoodBegan{-absl::InfiniteDuration()};
-  Instant Began;
   Instant RegainedAt{-absl::InfiniteDuration()};
   absl::Duration Backoff;
   bool Reachable = true;
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -224,6 +224,7 @@
   this->Tries += 1;
   this->Tried.push_back(To->Entry.Id);
   this->LastReplica = To->Entry.Id.text();
+  this->LastExpected = Chosen.Wait + Chosen.Work;
   auto Made = std::make_shared<Attempt>(this->weak_from_this(), To, Core.Loop);
   this->Current = Made;
   bool MayKeep = this->Which->Rule != Repeat::AtMostOnce;
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -85,6 +85,9 @@
   std::shared_ptr<Attempt> Current;
   std::vector<UpstreamId> Tried;
   std::string LastReplica;
+  /// What was expected of it and is compared with what came.
+  absl::Duration LastExpected;
+  ReportedLoad LastLoad;
   int AttemptsSent = 0;
   int Tries = 0;
   EventOrder Order;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -29,6 +29,7 @@
   if (Text != nullptr && parseLoad(*Text, Load)) {
     Load.At = Now;
     this->Core.Registry.reported(*From.To, Load);
+    this->LastLoad = Load;
   }
   if (Head.Status == 421) {
     this->rejected(From, Outcome::Misdirected);
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -101,6 +101,10 @@
     Line["route"] = this->Which->Name;
   if (!this->LastReplica.empty())
     Line["replica"] = this->LastReplica;
+  if (this->LastLoad.Slots > 0)
+    Line["running"] = this->LastLoad.Running;
+  if (this->Which != nullptr && this->Which->EventStream)
+    Line["expected_ms"] = absl::ToInt64Milliseconds(this->LastExpected);
   if (this->ChoosesModel)
     Line["model"] = this->Which->Models[this->ModelIndex].text();
   if (const std::string *Session =
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -4,7 +4,11 @@
 #include "record_book.h"
 #include "rollout_desk.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck/catch.h>
 
 using namespace berylramp;
 
@@ -89,82 +93,119 @@
   CHECK(chooseReader({&A, &B}, 9) == 9);
 }
 
-TEST_CASE("A peer gets what changed since it asked") {
-  RecordBook Book(Incarnation(1));
-  Book.put(StoreTopic::Operators, {"t", "one"});
-  Book.put(StoreTopic::Replicas, {"r", "up"});
-  PeerRecords First = Book.since({});
-  CHECK(First.Whole);
-  CHECK(First.Operators.size() == 1);
-  CHECK(Book.since(First.Mark).Replicas.empty());
-  Book.put(StoreTopic::Replicas, {"r", std::nullopt});
-  PeerRecords Next = Book.since(First.Mark);
-  CHECK_FALSE(Next.Whole);
-  REQUIRE(Next.Replicas.size() == 1);
-  CHECK_FALSE(Next.Replicas[0].Value.has_value());
-  CHECK(Next.Operators.empty());
-  CHECK(Book.since({Incarnation(9), 99}).Whole);
-  CHECK(Book.since({Incarnation(9), 99}).Replicas.empty());
-}
-
-TEST_CASE("A peer with entries as new gets none of them again") {
-  RecordBook Book(Incarnation(1));
-  Book.put(StoreTopic::Operators, {"t", "one"});
-  Book.put(StoreTopic::Replicas, {"r", "up"});
-  PeerQuery Query;
-  Query.OwnAge = absl::Milliseconds(700);
-  PeerRecords Out = Book.answer(Query, absl::Milliseconds(300));
-  CHECK(Out.ReplicasLeftOut);
-  CHECK(Out.Replicas.empty());
-  CHECK(Out.Operators.size() == 1);
-  Query.Since = Out.Mark;
-  Book.put(StoreTopic::Replicas, {"s", "up"});
-  Out = Book.answer(Query, absl::Milliseconds(300));
-  CHECK_FALSE(Out.ReplicasLeftOut);
-  CHECK(Out.Replicas.size() == 1);
+TEST_CASE("A peer gets what changed behind the offset it has reached") {
+  RecordBook Book;
+  StoreTopic Topic = StoreTopic::Replicas;
+  Book.put(Topic, {"r", "up"}, Offset(10));
+  Book.reached(Topic, Offset(10), true);
+  Book.put(Topic, {"s", "up"}, Offset(14));
+  Book.put(Topic, {"r", std::nullopt}, Offset(17));
+  Book.reached(Topic, Offset(17), false);
+  RecordBatch Some = Book.since(Topic, Offset(14));
+  CHECK_FALSE(Some.Whole);
+  CHECK(Some.Next == Offset(17));
+  REQUIRE(Some.Records.size() == 1);
+  CHECK_FALSE(Some.Records[0].Value.has_value());
+  CHECK(Book.since(Topic, Offset(12)).Records.size() == 2);
+  CHECK(Book.since(Topic, Offset(17)).Records.empty());
 }
 
-TEST_CASE("A peer that has nothing, or old entries, gets all of them") {
-  RecordBook Book(Incarnation(1));
-  Book.put(StoreTopic::Replicas, {"r", "up"});
-  PeerQuery Query;
-  if (GENERATE(true, false))
-    Query.OwnAge = absl::Seconds(9);
-  PeerRecords Out = Book.answer(Query, absl::Milliseconds(300));
-  CHECK_FALSE(Out.ReplicasLeftOut);
-  CHECK(Out.Replicas.size() == 1);
+TEST_CASE("A peer that is further back than the book gets all keys") {
+  RecordBook Book;
+  StoreTopic Topic = StoreTopic::Replicas;
+  CHECK(Book.since(Topic, NoOffset).Next == NoOffset);
+  Book.put(Topic, {"r", "up"}, Offset(10));
+  Book.reached(Topic, Offset(10), true);
+  Book.put(Topic, {"s", std::nullopt}, Offset(12));
+  Book.reached(Topic, Offset(12), false);
+  Offset From(GENERATE(-1, 9));
+  CAPTURE(From.count());
+  RecordBatch All = Book.since(Topic, From);
+  CHECK(All.Whole);
+  CHECK(All.Next == Offset(12));
+  REQUIRE(All.Records.size() == 1);
+  CHECK(All.Records[0].Key == "r");
 }
 
-TEST_CASE("A query for records goes both ways") {
-  PeerQuery Query;
-  Query.Since = {Incarnation(7), 12};
-  Query.OwnAge = absl::Milliseconds(450);
-  PeerQuery Back = decodePeerQuery(encodePeerQuery(Query));
-  CHECK(Back.Since.Life == Query.Since.Life);
-  CHECK(Back.Since.Sequence == 12);
-  CHECK(Back.OwnAge == Query.OwnAge);
-  CHECK(decodePeerQuery(PeerRecordsPath).OwnAge == absl::InfiniteDuration());
+TEST_CASE("A host that goes on at any peer ends with the same keys") {
+  rc::prop("for any order of changes and peers", [] {
+    StoreTopic Topic = StoreTopic::Replicas;
+    std::map<std::string, std::string> Truth;
+    std::vector<std::pair<StoreRecord, Offset>> Log;
+    std::vector<RecordBook> Peers(2);
+    std::vector<size_t> Read(Peers.size(), 0);
+    std::map<std::string, std::string> Host;
+    Offset Reached = NoOffset;
+    for (auto &Each : Peers)
+      Each.reached(Topic, Offset(0), true);
+    int Steps = *rc::gen::inRange(1, 60);
+    for (int Step = 0; Step < Steps; ++Step) {
+      int What = *rc::gen::inRange(0, 4);
+      auto Which = static_cast<size_t>(*rc::gen::inRange(0, 2));
+      if (What == 0) {
+        StoreRecord Made{absl::StrCat("k", *rc::gen::inRange(0, 4)),
+                         std::nullopt};
+        if (*rc::gen::arbitrary<bool>())
+          Made.Value = absl::StrCat("v", Step);
+        Log.emplace_back(Made, Offset(static_cast<int64_t>(Log.size()) + 1));
+        continue;
+      }
+      if (What == 1) {
+        Offset End(static_cast<int64_t>(Log.size()));
+        for (; Read[Which] < Log.size(); ++Read[Which])
+          Peers[Which].put(Topic, Log[Read[Which]].first, End);
+        Peers[Which].reached(Topic, End, false);
+        continue;
+      }
+      RecordBatch Got = Peers[Which].since(Topic, Reached);
+      if (Got.Next < Reached)
+        continue;
+      if (Got.Whole)
+        Host.clear();
+      for (const StoreRecord &Each : Got.Records) {
+        Host.erase(Each.Key);
+        if (Each.Value)
+          Host[Each.Key] = *Each.Value;
+      }
+      Reached = Got.Next;
+      Truth.clear();
+      for (const auto &[Record, End] : Log) {
+        if (End > Reached)
+          break;
+        Truth.erase(Record.Key);
+        if (Record.Value)
+          Truth[Record.Key] = *Record.Value;
+      }
+      RC_ASSERT(Host == Truth);
+    }
+  });
 }
 
 TEST_CASE("A peer's records go both ways") {
-  RecordBook Book(Incarnation(3));
-  Book.put(StoreTopic::RolloutStates, {"k", "v"});
-  Book.put(StoreTopic::Replicas, {"gone", std::nullopt});
-  PeerRecords Out = Book.since({Incarnation(3), 0});
+  PeerRecords Out;
+  Out.States = {Offset(4), true, {{"k", "v"}}};
+  Out.Replicas = {Offset(41), false, {{"gone", std::nullopt}}};
   Out.Age = absl::Milliseconds(70);
-  Out.ReplicasLeftOut = true;
-  Out.ReplicasNext = Offset(41);
   auto Back = decodePeerRecords(encodePeerRecords(Out));
   REQUIRE(Back.ok());
-  CHECK(Back->Mark.Sequence == 2);
-  CHECK(Back->States.size() == 1);
-  CHECK_FALSE(Back->Replicas[0].Value.has_value());
+  CHECK(Back->Operators.Next == NoOffset);
+  CHECK(Back->States.Whole);
+  CHECK(Back->States.Records.size() == 1);
+  CHECK(Back->Replicas.Next == Offset(41));
+  CHECK_FALSE(Back->Replicas.Records[0].Value.has_value());
   CHECK(Back->Age == absl::Milliseconds(70));
-  CHECK(Back->ReplicasLeftOut);
-  CHECK(Back->ReplicasNext == Offset(41));
   CHECK_FALSE(decodePeerRecords("{}").ok());
 }
 
+TEST_CASE("A query for records goes both ways") {
+  PeerQuery Query =
+      decodePeerQuery(encodePeerQuery({Offset(7), NoOffset, Offset(12)}));
+  CHECK(Query.Operators == Offset(7));
+  CHECK(Query.States == NoOffset);
+  CHECK(Query.Replicas == Offset(12));
+  CHECK(decodePeerQuery("/peer/records?replicas=x").Replicas == NoOffset);
+}
+
 namespace {
 
 struct DeskFixture {
