--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -306,6 +306,35 @@
   CHECK(this->Written.size() == 1);
 }
 
+TEST_CASE_METHOD(DeskFixture,
+                 "Of two drivers the second keeps the first's end") {
+  this->Desk.ordered(Order);
+  this->WriteResult = absl::FailedPreconditionError("another one wrote");
+  this->tickAt(10.3);
+  this->judge("v1", true, 100);
+  this->judge("v2", false, 40);
+  this->tickAt(11);
+  // The other driver saw a good target; its end stands in the store.
+  this->Desk.recorded(this->Service, VersionId("v2"), RolloutState::Complete);
+  size_t Before = this->Written.size();
+  this->WriteResult = absl::OkStatus();
+  this->tickAt(12);
+  this->tickAt(40);
+  CHECK(this->Written.size() == Before);
+}
+
+TEST_CASE_METHOD(DeskFixture, "A driver that was paused midway still ends it") {
+  this->Desk.ordered(Order);
+  this->tickAt(10.3);
+  this->judge("v1", true, 400);
+  this->judge("v2", true, 60);
+  this->tickAt(12);
+  // Nothing ran here for most of the order's time.
+  this->tickAt(28.5);
+  REQUIRE_FALSE(this->Written.empty());
+  CHECK(this->Written.back() == RolloutState::Complete);
+}
+
 TEST_CASE_METHOD(DeskFixture, "A failed write is tried again") {
   this->WriteResult = absl::UnavailableError("away");
   this->Desk.ordered(Order);
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -132,7 +132,8 @@
   auto Facts = decodeSettings(R"({"nodeName":"n","portRange":[1]})");
   REQUIRE_FALSE(Facts.ok());
   std::string Text(Facts.status().message());
-  for (const char *Field : {"zone", "ip", "frontend", "address", "portRange"})
+  for (const char *Field :
+       {"zone", "ip", "listen.frontend", "platform.address", "portRange"})
     CHECK(absl::StrContains(Text, Field));
 }
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -24,6 +24,7 @@
 /// Longer than the roll-out that is ordered at its beginning.
 constexpr absl::Duration PlannedTime = absl::Seconds(10);
 constexpr absl::Duration ApplyBound = absl::Seconds(4);
+constexpr absl::Duration RecoverBound = absl::Seconds(15);
 constexpr absl::Duration KeepBound = absl::Milliseconds(250);
 
 /// Asks hosts with keys of the newest two tables: a table is in force in time,
@@ -103,6 +104,10 @@
     this->plannedTime();
     this->Asking.stop();
     this->Around.runFor(absl::Seconds(3));
+    this->Around.killAll();
+    this->Around.runUntil(
+        [&] { return this->allServe(this->Around.newestKey()); }, RecoverBound,
+        "all hosts serve after all were killed");
     audit(this->Around, this->Asking);
     this->Around.end();
     return this->report();
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -24,6 +24,8 @@
 /// Planned stops of different hosts keep this distance, so that callers always
 /// find a host that is ready.
 constexpr absl::Duration BetweenStops = absl::Seconds(3);
+/// After all hosts were killed.
+constexpr absl::Duration StoreSilence = absl::Seconds(2);
 constexpr int64_t RolloutSeconds = 8;
 
 } // namespace
@@ -47,9 +49,10 @@
         std::make_shared<Proxy>(this->Loop, this->Timer, this->Store.address());
     Made.StoreWay->listen();
     Made.Settings = absl::StrCat(this->Folder, "/host-", Index, ".json");
-    std::ofstream(Made.Settings) << standin::sampleSettings(
+    Made.SettingsText = standin::sampleSettings(
         absl::StrCat("host-", Index), "zone-a", Made.Ip, this->Ports,
         Made.StoreWay->address(), absl::StrCat("127.0.0.1:", this->Ports[3]));
+    std::ofstream(Made.Settings) << Made.SettingsText;
     this->Hosts.push_back(Made);
   }
   for (Host &Each : this->Hosts)
@@ -240,7 +243,7 @@
 void World::plan() {
   this->Acts += 1;
   Host &Which = this->anyHost();
-  switch (this->draw(5)) {
+  switch (this->draw(6)) {
   case 0:
   case 1: {
     bool Free = true;
@@ -255,7 +258,10 @@
     if (!Which.Stopping)
       kill(Which.Pid, SIGHUP);
     break;
-  case 3: {
+  case 3:
+    this->spoilSettings(Which);
+    break;
+  case 4: {
     // One engine and one other replica always stay.
     int Drained = 0;
     for (const Server &Each : this->Servers)
@@ -282,6 +288,25 @@
       standin::sampleTable(this->TableVersion, {"key-1", this->newestKey()}));
 }
 
+/// A running host keeps its settings while its file is faulty.
+void World::spoilSettings(Host &Which) {
+  if (Which.Stopping)
+    return;
+  std::ofstream(Which.Settings) << "{\"nodeName\": ";
+  Host *Held = &Which;
+  this->Timer.after(absl::Milliseconds(600), [Held] {
+    std::ofstream(Held->Settings) << Held->SettingsText;
+  });
+}
+
+void World::killAll() {
+  this->Store.Mood = standin::StoreMood::Silent;
+  for (Host &Each : this->Hosts)
+    kill(Each.Pid, SIGKILL);
+  this->runFor(StoreSilence);
+  this->Store.Mood = standin::StoreMood::Serves;
+}
+
 void World::settle() {
   for (Server &Each : this->Servers)
     this->undrain(Each);
--- a/test/soak/world.h
+++ b/test/soak/world.h
@@ -20,6 +20,8 @@
 /// One daemon process.
 struct Host {
   std::string Settings;
+  /// What the settings file holds when it is in order.
+  std::string SettingsText;
   std::string Ip;
   std::shared_ptr<Proxy> StoreWay;
   pid_t Pid = 0;
@@ -68,6 +70,8 @@
   std::string newestKey() const;
   /// Takes back what plan() left under way.
   void settle();
+  /// Kills all hosts at once while the store is silent for a moment.
+  void killAll();
   /// Orders a roll-out to "v2" of engines that were added for it.
   void orderRollout(bool Good);
 
@@ -99,6 +103,7 @@
   void drain(Server &Which);
   void undrain(Server &Which);
   void healSome();
+  void spoilSettings(Host &Which);
 
   std::mt19937 Random;
   std::string Program;
