Explain a request from the logs of several hosts

Cause: docs/OPERATIONS.md led from an id to its cause by hand, through the lines of each host.

Change: berylramp-inspect explain ID FILE... prints what the host knew when it decided (table, source of records, reads of the store, pauses), each with its age, then the request's lines in order and what was known of each replica. What an earlier process knew does not count.

Shown by: test/story_test.cpp.

--- a/src/tools/inspect/main.cpp
+++ b/src/tools/inspect/main.cpp
@@ -12,9 +12,11 @@
 #include "berylramp/table.h"
 #include "cli.h"
 #include "render.h"
+#include "story.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include <fstream>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -35,20 +37,24 @@
   Endpoint Log;
   bool HasLog = false;
   std::string AnswersPath;
+  std::vector<std::string> LogPaths;
   Format How = Format::Columns;
 };
 
 Options readOptions(int Argc, char **Argv) {
   TCLAP::CmdLine Line(
       "Reads and explains. WHAT is table, hosts, host, replicas, request or "
-      "bills; request needs the request's id after it. BERYLRAMP_ADMIN_KEY "
-      "holds the key for --entry. Exit codes: 0 shown, 1 the bill audit found "
+      "bills; request needs the request's id after it. 'explain ID FILE...' "
+      "tells the story of a request from the logs of hosts. "
+      "BERYLRAMP_ADMIN_KEY holds the key for --entry. Exit codes: 0 shown, 1 "
+      "the bill audit found "
       "a fault, 2 bad command line, 3 no answer or not found.",
       ' ', BERYLRAMP_VERSION);
   TCLAP::UnlabeledValueArg<std::string> What("what", "what to show", true, "",
                                              "WHAT", Line);
-  TCLAP::UnlabeledValueArg<std::string> Which("which", "the request's id",
-                                              false, "", "ID", Line);
+  TCLAP::UnlabeledMultiArg<std::string> Words(
+      "words", "the request's id; for explain also the log files", false,
+      "ID FILE...", Line);
   TCLAP::ValueArg<std::string> Entry("e", "entry", "entry host to ask", false,
                                      "", "IP:PORT", Line);
   TCLAP::ValueArg<std::string> Log("l", "log", "log service, for bills", false,
@@ -63,7 +69,11 @@
   Line.parse(Argc, Argv);
   Options Out;
   Out.What = What.getValue();
-  Out.Which = Which.getValue();
+  std::vector<std::string> Given = Words.getValue();
+  if (!Given.empty()) {
+    Out.Which = Given.front();
+    Out.LogPaths.assign(Given.begin() + 1, Given.end());
+  }
   Out.HasEntry = parseEndpoint(Entry.getValue(), Out.Entry);
   Out.HasLog = parseEndpoint(Log.getValue(), Out.Log);
   Out.AnswersPath = Answers.getValue();
@@ -194,6 +204,28 @@
   return IsClean ? 0 : ExitBroken;
 }
 
+int explainRequest(const Options &Given) {
+  LogLines Lines;
+  for (const std::string &Path : Given.LogPaths) {
+    std::ifstream File(Path);
+    if (!File) {
+      std::cerr << "the log '" << Path << "' cannot be read\n";
+      return ExitUsage;
+    }
+    readLog(File, Lines);
+  }
+  std::vector<std::string> Story = storyOf(Given.Which, Lines);
+  for (const std::string &Each : Story)
+    std::cout << Each << "\n";
+  if (Lines.Skipped > 0)
+    std::cerr << Lines.Skipped << " lines are no records and were skipped\n";
+  if (!Story.empty())
+    return 0;
+  std::cerr << "no line names request " << Given.Which
+            << "; give the logs of all hosts that may have taken it\n";
+  return ExitUnavailable;
+}
+
 int show(const Options &Given) {
   if (Given.What == "table")
     return showTable(Given);
@@ -211,8 +243,10 @@
     return showRequest(Given);
   if (Given.What == "bills")
     return showBills(Given);
-  std::cerr << "say what to show: table, hosts, host, replicas, request ID or "
-               "bills\n";
+  if (Given.What == "explain" && !Given.LogPaths.empty())
+    return explainRequest(Given);
+  std::cerr << "say what to show: table, hosts, host, replicas, request ID, "
+               "bills or explain ID FILE...\n";
   return ExitUsage;
 }
 
--- a/test/soak/proxy.cpp
+++ b/test/soak/proxy.cpp
@@ -31,8 +31,15 @@
 
   void pass(const std::string &Bytes, tcp::socket &To, Harm Cut) {
     Harm Mode = this->Owner.Mode;
-    if (Mode == Harm::Silence || Mode == Cut)
+    if (Mode == Harm::Silence || Mode == Cut) {
+      this->Lost = true;
       return;
+    }
+    // What follows lost bytes never arrives before them: the connection ends.
+    if (this->Lost) {
+      this->reset();
+      return;
+    }
     if (Mode != Harm::Delay && this->Waiting == 0) {
       this->write(Bytes, To);
       return;
@@ -75,6 +82,8 @@
   std::string FromCaller = std::string(8192, '\0');
   std::string FromServer = std::string(8192, '\0');
   int Waiting = 0;
+  /// Bytes were swallowed, in either direction.
+  bool Lost = false;
 };
 
 Proxy::Proxy(boost::asio::io_context &Loop, LoopTimer &Timer, Endpoint Server)
--- /dev/null
+++ b/test/story_test.cpp
@@ -0,0 +1,78 @@
+//===- story_test.cpp - What the logs tell of one request -----------------===//
+
+#include "story.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include <catch2/catch.hpp>
+#include <sstream>
+
+using namespace berylramp::inspect;
+
+namespace {
+
+std::string told(const std::string &Id, const std::string &Text) {
+  std::istringstream In(Text);
+  LogLines Lines;
+  readLog(In, Lines);
+  return absl::StrJoin(storyOf(Id, Lines), "\n");
+}
+
+constexpr const char *Logs =
+    R"({"event":"started","host":"h-1","time_ms":1000}
+{"event":"table_in_force","host":"h-1","version":7,"time_ms":2000}
+{"event":"record_source","host":"h-1","from":"peer","reader":"10.0.0.1","time_ms":2500}
+{"event":"replica_entry","host":"h-1","replica":"i-2","draining":true,"version":"v1","address":"10.0.0.9:80","time_ms":4000}
+{"event":"store_lost","host":"h-1","topic":"replicas","error":"the store answered 429","time_ms":4500}
+{"event":"request_done","host":"h-1","place":"a1","request":"q","result":"broken","replica":"i-2","time_ms":6000}
+{"event":"attempt_failed","host":"h-1","place":"a1","request":"q","reason":"cut_mid_stream","replica":"i-2","time_ms":5000}
+{"event":"table_in_force","host":"h-2","version":9,"time_ms":3000}
+{"event":"table_in_force","host":"h-1","version":8,"time_ms":7000}
+{"event":"request_done","host":"h-1","request":"other","time_ms":5500}
+no json
+)";
+
+} // namespace
+
+TEST_CASE("A request's lines are told in order of time") {
+  std::string Text = told("q", Logs);
+  size_t Failed = Text.find("attempt_failed: reason cut_mid_stream");
+  size_t Done = Text.find("request_done: ");
+  REQUIRE(Failed != std::string::npos);
+  REQUIRE(Done != std::string::npos);
+  CHECK(Failed < Done);
+  CHECK_FALSE(absl::StrContains(Text, "other"));
+}
+
+TEST_CASE("What a host knew is told with its age") {
+  std::string Text = told("q", Logs);
+  CHECK(absl::StrContains(Text, "table 7 came into force 3.0 s earlier"));
+  CHECK(
+      absl::StrContains(Text, "records had come from host 10.0.0.1 for 2.5 s"));
+  CHECK(absl::StrContains(Text, "reads of replicas had failed for 0.5 s "
+                                "(the store answered 429)"));
+  CHECK(absl::StrContains(Text, "i-2: draining, version v1, at 10.0.0.9:80, by "
+                                "a record 1.0 s earlier"));
+}
+
+TEST_CASE("What an earlier process of the host knew does not count") {
+  std::string Text = told(
+      "r",
+      absl::StrCat(
+          Logs, R"({"event":"started","host":"h-1","time_ms":8000})", "\n",
+          R"({"event":"request_done","host":"h-1","request":"r","replica":"i-2","time_ms":9000})"));
+  CHECK(absl::StrContains(Text, "no table is seen"));
+  CHECK(absl::StrContains(Text, "i-2: no record is seen"));
+}
+
+TEST_CASE("A request that no line names has no story") {
+  CHECK(told("absent", Logs).empty());
+}
+
+TEST_CASE("Lines that are no records are counted") {
+  std::istringstream In(Logs);
+  LogLines Lines;
+  readLog(In, Lines);
+  CHECK(Lines.Skipped == 1);
+}
