Tell work to the hosts beside the engine that got it

A trace of single engines: hosts expected 10 ms to the first byte and waited 2 s, as prompts from another data centre stood before theirs. Words about work went to the sender's own data centre only; the hosts beside the engine, who choose it most, never heard of prompts from elsewhere.

Change: the words go to the data centre of the engine.

Test: 'Load pattern: prompts for engines elsewhere are told there'.

--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -53,7 +53,8 @@
   };
   Hooks.SentWork = [this](const Replica &To, absl::Duration Work) {
     if (Work >= WorkToTell)
-      this->Link->tellWork({To.IdHash, absl::ToInt64Milliseconds(Work)});
+      this->Link->tellWork({To.IdHash, absl::ToInt64Milliseconds(Work)},
+                           To.Entry.Place);
   };
   Hooks.Misdirected = [this](const UpstreamId &Id) {
     Json::Value Line(Json::objectValue);
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -63,10 +63,10 @@
   this->Counters.count(Counter::PeerExchanges);
 }
 
-void PeerLink::tellWork(const WorkNote &Note) {
+void PeerLink::tellWork(const WorkNote &Note, const PlaceId &Place) {
   std::string Datagram = encodeWork(Note);
   for (const Peer *Each : this->View.live(this->Timer.now())) {
-    if (Each->State.Place != this->Facts.Place)
+    if (Each->State.Place != Place)
       continue;
     boost::system::error_code Error;
     udp::endpoint To(boost::asio::ip::address_v4(Each->State.Ip),
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -26,8 +26,8 @@
   void close();
   /// Sends this host's state to a few peers.
   void spread();
-  /// Tells the hosts of this data centre about work sent to a replica.
-  void tellWork(const WorkNote &Note);
+  /// Tells the hosts of a data centre about work sent to a replica there.
+  void tellWork(const WorkNote &Note, const PlaceId &Place);
   /// Called for each such word of a peer.
   std::function<void(const WorkNote &)> OnWork;
   /// Asks a peer for records. One request is under way at a time; false when
