Tell a silent engine from one that cut its answer

Cause: UpstreamFault::Late and the counter late_answers_dropped were never raised: a silent engine counted as cut.

Change: an answer that ends after the whole time-out without a byte is late, and its retry is counted as such. The counter is gone, as no answer is dropped for being late.

--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -71,7 +71,6 @@
   RatingsReceived,
   HoldsTripped,
   ReplicaEjections,
-  LateAnswersDropped,
   BytesAcross
 };
 inline constexpr int CounterCount = static_cast<int>(Counter::BytesAcross) + 1;
--- a/src/http/upstream_adapter.cpp
+++ b/src/http/upstream_adapter.cpp
@@ -42,9 +42,11 @@
 class AnswerReader {
 public:
   AnswerReader(const GenerateCall &Call, const TextSink &OnText)
-      : WantedId(IdPrefix + Call.Attempt.text()), OnText(OnText) {}
+      : WantedId(IdPrefix + Call.Attempt.text()), OnText(OnText),
+        Patience(Call.Timeout), LastBytes(absl::Now()) {}
 
   bool onBytes(const std::string &Bytes) {
+    this->LastBytes = absl::Now();
     return this->Splitter.feed(
         Bytes, [this](const std::string &Data) { return this->onEvent(Data); });
   }
@@ -59,13 +61,18 @@
     else if (Outcome.Fault == HttpFault::None && Outcome.Status != StatusOk)
       Out.Fault = UpstreamFault::Refused;
     else if (!this->Ended)
-      Out.Fault = UpstreamFault::Cut;
+      Out.Fault = this->wasSilent() ? UpstreamFault::Late : UpstreamFault::Cut;
     if (Out.Fault == UpstreamFault::Refused)
       Out.Detail = absl::StrCat("status ", Outcome.Status);
     return Out;
   }
 
 private:
+  /// The transport gives up after this silence without saying so.
+  bool wasSilent() const {
+    return absl::Now() - this->LastBytes >= this->Patience;
+  }
+
   bool onEvent(const std::string &Data) {
     if (Data == EndMarker) {
       this->Ended = true;
@@ -98,6 +105,8 @@
 
   std::string WantedId;
   const TextSink &OnText;
+  absl::Duration Patience;
+  absl::Time LastBytes;
   EventSplitter Splitter;
   GenerateResult Result;
   bool Ended = false;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -50,7 +50,6 @@
     "ratings_received",
     "holds_tripped",
     "replica_ejections",
-    "late_answers_dropped",
     "bytes_across"};
 
 constexpr std::array<const char *, LatencyCount> LatencyNames = {
