Write a hold again that lost to an edit of its row

Cause: the hold of a bad candidate had one id for each run. When an operator's edit of the row came first, the hold was rejected and never written again; only the trip kept new requests away.

Change: the id gets a number behind it while the last try is a conflict, at most 8; an accepted hold is never repeated, so that operators can open the version again.

Shown by: 'A hold that lost to an edit is written again, an accepted one not' (the code before had one id).

--- a/include/berylramp/policy.h
+++ b/include/berylramp/policy.h
@@ -306,7 +306,7 @@
 /// candidate, under an id that every host derives alike.
 Edit makeRolloutStep(const RolloutRow &Row, int NextPercent, Offset Base);
 Edit makeHold(const VersionKey &Version, const std::string &Run,
-              const std::string &Evidence, Offset Base);
+              const std::string &Evidence, const ConfigState &State);
 /// The next percentage, or -1 when the roll-out should stay as it is.
 int nextRolloutPercent(const RolloutRow &Row, int64_t RatedSinceStep);
 
--- a/src/policy/judgement.cpp
+++ b/src/policy/judgement.cpp
@@ -20,6 +20,9 @@
 constexpr double MostShare = 0.99;
 constexpr int WholeTraffic = 100;
 constexpr const char *FleetAuthor = "berylramp";
+/// Holds written for one run of a version; more edits of the row meanwhile
+/// mean that operators are at work on it.
+constexpr int MostHolds = 8;
 
 /// What one rating says against the agreed share.
 double stepOf(bool IsGood, double AgreedShare) {
@@ -83,11 +86,18 @@
 }
 
 Edit makeHold(const VersionKey &Version, const std::string &Run,
-              const std::string &Evidence, Offset Base) {
+              const std::string &Evidence, const ConfigState &State) {
   Edit Out;
   Out.Id = EditId(absl::StrCat("hold:", Version.text(), ":", Run));
+  // A hold that lost to another edit of the row is written again.
+  for (int Try = 2; Try <= MostHolds; ++Try) {
+    const EditOutcome *Last = findOutcome(State, Out.Id);
+    if (Last == nullptr || Last->Verdict != EditVerdict::Conflict)
+      break;
+    Out.Id = EditId(absl::StrCat("hold:", Version.text(), ":", Run, ":", Try));
+  }
   Out.Author = FleetAuthor;
-  Out.Base = Base;
+  Out.Base = State.Applied;
   Out.Note = "held: " + Evidence;
   Out.Changes.push_back(setCell("version/" + Version.text(), "state", "held"));
   return Out;
--- a/src/router/rollout_driver.cpp
+++ b/src/router/rollout_driver.cpp
@@ -64,11 +64,7 @@
         State == VersionState::Candidate || State == VersionState::Serving;
     if (!IsOpen)
       continue;
-    // A hold that lost to an operator's edit of the row is not repeated: the
-    // trip itself still keeps new requests away.
-    Edit Hold =
-        makeHold(Trip.Version, Trip.Run, Trip.Evidence, View.State->Applied);
-    this->append(Hold);
+    this->append(makeHold(Trip.Version, Trip.Run, Trip.Evidence, *View.State));
   }
 }
 
@@ -94,7 +90,7 @@
     std::string Why =
         absl::StrCat(Sum.Kind.text(), " in the whole fleet: ", Sum.Good,
                      " good of ", Sum.Rated);
-    this->append(makeHold(Sum.Version, Sum.Run, Why, View.State->Applied));
+    this->append(makeHold(Sum.Version, Sum.Run, Why, *View.State));
   }
 }
 
--- a/test/policy_test.cpp
+++ b/test/policy_test.cpp
@@ -358,8 +358,25 @@
         makeRolloutStep(Row, 25, Offset(9)).Id);
   CHECK(makeRolloutStep(Row, 100, Offset(3)).Changes.size() == 2);
   VersionKey Key{Row.Model, Row.Candidate};
-  CHECK(makeHold(Key, "7", "a", Offset(1)).Id ==
-        makeHold(Key, "7", "b", Offset(2)).Id);
+  ConfigState First;
+  First.Applied = Offset(1);
+  ConfigState Second;
+  Second.Applied = Offset(2);
+  CHECK(makeHold(Key, "7", "a", First).Id ==
+        makeHold(Key, "7", "b", Second).Id);
+}
+
+TEST_CASE("A hold that lost to an edit is written again, an accepted one not") {
+  VersionKey Key{ModelId("m"), VersionId("v")};
+  ConfigState State;
+  EditId First = makeHold(Key, "7", "a", State).Id;
+  State.Outcomes.push_back({First, Offset(4), EditVerdict::Conflict, ""});
+  State.Applied = Offset(4);
+  Edit Again = makeHold(Key, "7", "a", State);
+  CHECK(Again.Id != First);
+  CHECK(Again.Base == Offset(4));
+  State.Outcomes.push_back({Again.Id, Offset(6), EditVerdict::Accepted, ""});
+  CHECK(makeHold(Key, "7", "a", State).Id == Again.Id);
 }
 
 // Verifies that a replica is ejected after faults in a row, longer each time,
