Announce a host until it worked, look for peers while alone

Cause: the host's own record was written, and the others' read, once at the start: a host that started while the store was away, with dead seeds, stayed alone.

Change: the record is written again until it worked (1.5 s, doubling to 12 s); the others' are read only while no peer is heard. Calls hold their client weakly, and a caller that goes away drops what it had queued.

Shown by: 'A host without peers asks the store until it hears one', 'A host that could not announce itself tries again', 'A store client that goes away takes its calls with it'.

--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -24,6 +24,11 @@
 /// back; the other topics are read then.
 constexpr absl::Duration RareRetry = absl::Seconds(5);
 
+/// Time in which seeds that live are heard, and the longest pause between
+/// calls about the hosts' addresses.
+constexpr absl::Duration FirstHostsRetry = absl::Milliseconds(1500);
+constexpr absl::Duration LongestHostsRetry = absl::Seconds(12);
+
 } // namespace
 
 ExchangeSettings EdgeDaemon::State::exchangeSettings() const {
@@ -193,18 +198,45 @@
                this->Operators->nudge();
                this->States->nudge();
              });
+  this->announce(FirstHostsRetry);
+  this->lookForPeers(FirstHostsRetry);
+}
+
+void EdgeDaemon::State::announce(absl::Duration Retry) {
   StoreRecord Own{this->Facts.Name.text(), this->Facts.Ip};
+  auto Weak = this->weak_from_this();
   this->Platform.Store.Append(
-      StoreTopic::Hosts, Own, NoOffset, [this](const absl::Status &Status) {
+      StoreTopic::Hosts, Own, NoOffset,
+      [Weak, Retry](const absl::Status &Status) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
         Json::Value Line(Json::objectValue);
         Line["result"] = Status.ok() ? "ok" : std::string(Status.message());
         logEvent(LogLevel::Info, "host_announced", Line);
-        this->Platform.Store.Newest(
-            StoreTopic::Hosts, [this](const absl::StatusOr<StorePage> &Page) {
-              if (Page.ok())
-                this->hostRecords(Page->Records);
-            });
+        if (!Status.ok())
+          Self->Timer.after(Retry, [Weak, Retry] {
+            if (auto Again = Weak.lock())
+              Again->announce(std::min(Retry * 2, LongestHostsRetry));
+          });
       });
 }
 
+/// Seeds are heard of first; a host that hears none asks the store.
+void EdgeDaemon::State::lookForPeers(absl::Duration Wait) {
+  auto Weak = this->weak_from_this();
+  this->Timer.after(Wait, [Weak, Wait] {
+    auto Self = Weak.lock();
+    if (!Self || !Self->Peers.live(Self->Timer.now()).empty())
+      return;
+    Self->Platform.Store.Newest(StoreTopic::Hosts,
+                                [Weak](const absl::StatusOr<StorePage> &Page) {
+                                  auto Asked = Weak.lock();
+                                  if (Asked && Page.ok())
+                                    Asked->hostRecords(Page->Records);
+                                });
+    Self->lookForPeers(std::min(Wait * 2, LongestHostsRetry));
+  });
+}
+
 } // namespace berylramp
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -47,6 +47,8 @@
 
   absl::Status start();
   void follow();
+  void announce(absl::Duration Retry);
+  void lookForPeers(absl::Duration Wait);
   void restAtStart(const std::shared_ptr<StoreFollower> &Which, bool Whole);
   void tick();
   void sweep();
--- a/src/exchange/caller.cpp
+++ b/src/exchange/caller.cpp
@@ -175,6 +175,7 @@
   this->Shared->Closed = true;
   this->Shared->Clock.cancel();
   this->Shared->Current.reset();
+  this->Shared->Queue.clear();
   if (this->Shared->Wire != nullptr)
     this->Shared->Wire->close();
 }
--- a/test/caller_test.cpp
+++ b/test/caller_test.cpp
@@ -2,6 +2,8 @@
 
 #include "berylramp/exchange.h"
 
+#include "platform.h"
+
 #include "absl/strings/match.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -107,3 +109,20 @@
   absl::StatusOr<CallAnswer> Answer = this->call(Server.address(), Call);
   CHECK(absl::IsDeadlineExceeded(Answer.status()));
 }
+
+TEST_CASE("A store client that goes away takes its calls with it") {
+  boost::asio::io_context Loop;
+  LoopTimer Timer(Loop);
+  DripServer Server(Loop, "", std::chrono::milliseconds(1));
+  auto Held = std::make_shared<int>(0);
+  {
+    StorePort Port = platform::storePort(Loop, Timer, Server.address(), {});
+    Port.Newest(StoreTopic::Replicas,
+                [Held](const absl::StatusOr<StorePage> &) {});
+    Port.Newest(StoreTopic::Replicas,
+                [Held](const absl::StatusOr<StorePage> &) {});
+    Loop.run_for(std::chrono::milliseconds(50));
+    CHECK(Held.use_count() == 3);
+  }
+  CHECK(Held.use_count() == 1);
+}
--- a/test/edge_peers_test.cpp
+++ b/test/edge_peers_test.cpp
@@ -25,7 +25,8 @@
 };
 
 struct PeersFixture {
-  PeersFixture() : Timer(Loop) {
+  explicit PeersFixture(bool WithSeeds = true) : Timer(Loop) {
+    this->WithSeeds = WithSeeds;
     for (int Index = 0; Index < 5; ++Index)
       this->Ports.push_back(standin::freePort());
     for (int Index = 0; Index < 2; ++Index) {
@@ -54,6 +55,8 @@
                                 Which.Store->address(), Seed));
     REQUIRE(Read.ok());
     Which.Facts = *Read;
+    if (!this->WithSeeds)
+      Which.Facts.Seeds.clear();
     EdgeSettings Settings;
     EdgePlatform Parts;
     Parts.Store = platform::storePort(this->Loop, this->Timer,
@@ -145,6 +148,11 @@
   std::vector<std::shared_ptr<standin::Replica>> Plains;
   std::array<Member, 2> Hosts;
   int Sent = 0;
+  bool WithSeeds = true;
+};
+
+struct SeedlessFixture : PeersFixture {
+  SeedlessFixture() : PeersFixture(false) {}
 };
 
 } // namespace
@@ -227,3 +235,24 @@
   this->putTable(2, {"key-1", "key-2"});
   CHECK(this->serves(Second, "key-2"));
 }
+
+TEST_CASE_METHOD(SeedlessFixture,
+                 "A host without peers asks the store until it hears one") {
+  this->start();
+  this->runFor(absl::Seconds(2));
+  // Each one's announcement stands in its own store; now they are told.
+  this->put("keyed.hosts", "host-1", "127.0.0.1");
+  this->put("keyed.hosts", "host-2", "127.0.0.2");
+  this->settle();
+}
+
+TEST_CASE_METHOD(PeersFixture,
+                 "A host that could not announce itself tries again") {
+  this->Hosts[0].Store->Mood = StoreMood::Refuses;
+  this->start();
+  this->runFor(absl::Seconds(1));
+  this->Hosts[0].Store->Mood = StoreMood::Serves;
+  CHECK(this->until([&] {
+    return this->Hosts[0].Store->newest("keyed.hosts", "host-1") == "127.0.0.1";
+  }));
+}
