End the daemon without the destructors of libraries' statics

Ruled out: streams under way (stopped was logged), the log writer (it had ended), the daemon's own destructors.

Change: std::_Exit once everything is written and closed.

--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -207,7 +207,9 @@
   startQueuedLogging(Facts->Name, Facts->Place);
   int Code = Program(Chosen, *Facts).run();
   stopQueuedLogging();
-  return Code;
+  // Everything is written and closed. The destructors of libraries' statics
+  // may wait for threads of theirs, and a stopped host is back that much later.
+  std::_Exit(Code);
 }
 
 } // namespace
