Let a new reader of the region begin to read before it counts as failed

Cause: while its own store fails, a host asks the new reader for records. The entries of that reader are as old as its last answer from the previous one until its first own read (1.355 s seen, bound 1.3 s). The host counted it as failed for 8 s, chose itself once its own store served again, and of two readers the lower address stays. Ruled out: the reader's own reads (they succeed within milliseconds); a missing answer (the answer arrived, with old entries). Change: one stale answer makes the host read the store itself for 1.2 s, as before; only two stale answers in a row or a missing one make the reader fail. What a host tells of readers is a plain struct with free functions.

--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -31,8 +31,6 @@
 /// Longer than the liveness timeout, because with hundreds of hosts a heartbeat
 /// takes seconds to reach all of them.
 constexpr absl::Duration ReaderSeenTimeout = absl::Seconds(10);
-/// A reader that failed is not selected for this long.
-constexpr absl::Duration FailedReaderTimeout = absl::Seconds(8);
 /// Time for which this host reads the store itself after a reader failed. The
 /// next reader detects the failure within two of its requests.
 constexpr absl::Duration DirectReadTime = absl::Milliseconds(1200);
@@ -49,8 +47,7 @@
     Candidates.push_back(&Self);
   Instant Now = this->Timer.now();
   for (const Peer *Candidate : this->Peers.seenWithin(ReaderSeenTimeout, Now)) {
-    auto Failed = this->FailedReaders.find(Candidate->State.Ip);
-    if (Failed != this->FailedReaders.end() && Now < Failed->second)
+    if (hasFailed(this->Readers, Candidate->State.Ip, Now))
       continue;
     auto Region = this->Config.Regions.find(Candidate->State.Place);
     bool SameRegion = Region != this->Config.Regions.end() &&
@@ -169,9 +166,15 @@
 
 void EdgeDaemon::State::onReaderRecords(
     const absl::StatusOr<PeerRecords> &Records, uint32_t Reader) {
-  if (!Records.ok() ||
-      Records->Age >= this->Config.Bounds.DrainTimeout * MaxReaderAgeFraction) {
-    this->FailedReaders[Reader] = this->Timer.now() + FailedReaderTimeout;
+  absl::Duration MaxAge =
+      this->Config.Bounds.DrainTimeout * MaxReaderAgeFraction;
+  ReaderAnswer Answer = ReaderAnswer::Usable;
+  if (!Records.ok())
+    Answer = ReaderAnswer::Missing;
+  else if (Records->Age >= MaxAge)
+    Answer = ReaderAnswer::Stale;
+  recordAnswer(this->Readers, Reader, Answer, this->Timer.now());
+  if (Answer != ReaderAnswer::Usable) {
     this->DirectReadUntil = this->Timer.now() + DirectReadTime;
     this->setRecordSource(true);
     return;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -6,6 +6,7 @@
 #include "berylramp/edge.h"
 #include "directory.h"
 #include "peer_link.h"
+#include "reader_health.h"
 #include "record_cache.h"
 #include "rollout_controller.h"
 #include "store_follower.h"
@@ -124,9 +125,7 @@
   Instant DirectReadSince;
   /// When the replica entries received from a peer were read from the store.
   Instant PeerEntriesAsOf{-absl::InfiniteDuration()};
-  /// Readers of the region whose records were missing or too old, and until
-  /// when they are not selected again.
-  std::map<uint32_t, Instant> FailedReaders;
+  ReaderHealth Readers;
   /// Difference between the boot clock and the steady clock at the last
   /// reading; infinite before the first one.
   absl::Duration ClockGap = absl::InfiniteDuration();
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -1,6 +1,7 @@
 //===- edge_parts_test.cpp - Directory, record cache, roll-out controller -===//
 
 #include "directory.h"
+#include "reader_health.h"
 #include "record_cache.h"
 #include "rollout_controller.h"
 
@@ -94,6 +95,25 @@
   CHECK(chooseReader({&A, &B}, 9) == 9);
 }
 
+TEST_CASE("A reader fails after two stale answers in a row or a missing one") {
+  ReaderHealth Health;
+  Instant Now{absl::Seconds(10)};
+  recordAnswer(Health, 1, ReaderAnswer::Stale, Now);
+  CHECK_FALSE(hasFailed(Health, 1, Now));
+  // Another reader's stale answer is not the second one of the first reader.
+  recordAnswer(Health, 2, ReaderAnswer::Stale, Now);
+  recordAnswer(Health, 1, ReaderAnswer::Stale, Now);
+  CHECK_FALSE(hasFailed(Health, 1, Now));
+  recordAnswer(Health, 1, ReaderAnswer::Usable, Now);
+  recordAnswer(Health, 1, ReaderAnswer::Stale, Now);
+  CHECK_FALSE(hasFailed(Health, 1, Now));
+  recordAnswer(Health, 1, ReaderAnswer::Stale, Now);
+  CHECK(hasFailed(Health, 1, Now));
+  recordAnswer(Health, 2, ReaderAnswer::Missing, Now);
+  CHECK(hasFailed(Health, 2, Now));
+  CHECK_FALSE(hasFailed(Health, 2, Now + absl::Minutes(1)));
+}
+
 TEST_CASE("A peer gets the changes after the offset it has reached") {
   RecordCache Cache;
   StoreTopic Topic = StoreTopic::Replicas;
