Do not call an order in doubt while its owner only fails to reply

Cause: a caller that lost the claim asks the owner for its answer. Where the claim is recorded as done and that call fails, for instance by its time limit on a busy machine, the caller was told in_doubt, though the owner is alive and holds the answer. The same happened where the owner's member record had not arrived yet: an unknown host counted as one that was silent for a minute. Ruled out: a second run (the run counter stayed at one); a cache that lost the answer (it is stored before the claim is recorded as done). Change: no reply from an owner that has not ended gives already_running with a delay; the owner of a key younger than the silence timeout has not ended only because it is unknown. A reply without an answer stays in_doubt. Test: 'An answer at a host that does not reply is not in doubt' failed on the code before (in_doubt) and passes.

--- a/src/router/fleet_link.cpp
+++ b/src/router/fleet_link.cpp
@@ -348,6 +348,11 @@
                              this->Context.Timer.now());
 }
 
+bool FleetLink::isKnown(const HostId &Host) const {
+  MutexLock Guard(&this->Lock);
+  return this->View.Members.count(Host) != 0;
+}
+
 bool FleetLink::addressOf(const HostId &Host, Endpoint &Result) const {
   MutexLock Guard(&this->Lock);
   auto Found = this->View.Members.find(Host);
--- a/src/router/fleet_link.h
+++ b/src/router/fleet_link.h
@@ -61,6 +61,8 @@
   /// ended because the host is unknown or has been silent for longer than
   /// Times.DetachedTimeout.
   bool isPeerUnavailable(const HostId &Host, Incarnation PeerIncarnation) const;
+  /// Whether a member record of the host was received.
+  bool isKnown(const HostId &Host) const;
   /// Looks up where a host listens; false if the address is unknown.
   bool addressOf(const HostId &Host, Endpoint &Result) const;
   std::vector<EntryAddress> entries(const PlaceId &PreferredPlace) const;
--- a/src/router/service_call.cpp
+++ b/src/router/service_call.cpp
@@ -287,24 +287,44 @@
   }
 }
 
-bool ServiceRequestHandler::fetchCachedAnswer(const ClaimEntry &Owner,
-                                              CachedAnswer &Answer) {
+ServiceRequestHandler::CacheLookup
+ServiceRequestHandler::fetchCachedAnswer(const ClaimEntry &Owner,
+                                         CachedAnswer &Answer) {
   if (this->Parts.Answers.find(Owner.Record.Attempt, Answer))
-    return true;
+    return CacheLookup::Found;
+  if (Owner.Record.Host == this->Parts.Context.Settings.Host)
+    return CacheLookup::NotCached;
   Endpoint Address;
-  if (Owner.Record.Host == this->Parts.Context.Settings.Host ||
-      !this->Parts.Fleet.addressOf(Owner.Record.Host, Address))
-    return false;
+  if (!this->Parts.Fleet.addressOf(Owner.Record.Host, Address))
+    return CacheLookup::NoReply;
   Json::Value Params;
   Params["attempt"] = Owner.Record.Attempt.text();
   absl::StatusOr<Json::Value> Reply =
       this->Parts.Context.Ports.Peers.Call(Address, "kept_answer", Params);
-  if (!Reply.ok() || !boolAt(*Reply, "found"))
-    return false;
+  if (!Reply.ok()) {
+    this->recordStep("cached answer", std::string(Reply.status().message()));
+    return CacheLookup::NoReply;
+  }
+  if (!boolAt(*Reply, "found"))
+    return CacheLookup::NotCached;
   Answer.Status = static_cast<int>(intAt(*Reply, "status"));
   Answer.Body = textAt(*Reply, "body");
   Answer.BillKey = RequestId(textAt(*Reply, "request"));
-  return true;
+  return CacheLookup::Found;
+}
+
+bool ServiceRequestHandler::hasOwnerEnded(const Claim &OwnersClaim) const {
+  if (!this->Parts.Fleet.isPeerUnavailable(OwnersClaim.Host,
+                                           OwnersClaim.HostIncarnation))
+    return false;
+  if (this->Parts.Fleet.isKnown(OwnersClaim.Host))
+    return true;
+  // This host may not have received the owner's member record yet. An owner of
+  // a recent key cannot have been silent for the whole timeout.
+  absl::Duration KeyAge =
+      this->Parts.Context.Timer.wallNow() -
+      absl::FromUnixMillis(OwnersClaim.Identity.IssuedMillis);
+  return KeyAge > this->Parts.Context.Settings.Times.DetachedTimeout;
 }
 
 ServiceAnswer
@@ -316,7 +336,8 @@
         "the idempotency key was already used with a different "
         "body"));
   CachedAnswer Cached;
-  if (this->fetchCachedAnswer(Owner, Cached)) {
+  CacheLookup Lookup = this->fetchCachedAnswer(Owner, Cached);
+  if (Lookup == CacheLookup::Found) {
     ServiceResult Result;
     Result.Status = Cached.Status;
     Result.Body = Cached.Body;
@@ -324,8 +345,7 @@
     Answer.IsReplay = true;
     return Answer;
   }
-  bool IsOwnerUnavailable = this->Parts.Fleet.isPeerUnavailable(
-      Owner.Record.Host, Owner.Record.HostIncarnation);
+  bool IsOwnerUnavailable = this->hasOwnerEnded(Owner.Record);
   bool IsRunning =
       Owner.Progress == ClaimProgress::Claimed && !IsOwnerUnavailable;
   if (IsRunning)
@@ -333,6 +353,12 @@
                           "the request is still running on host " +
                               Owner.Record.Host.text(),
                           ShortRetryDelay});
+  // A host that does not reply in time may still hold the answer.
+  if (Lookup == CacheLookup::NoReply && !IsOwnerUnavailable)
+    return refuse(Refusal{RefusalKind::AlreadyRunning, ExecutionStatus::Unknown,
+                          absl::StrCat("host ", Owner.Record.Host.text(),
+                                       " holds the answer but did not reply"),
+                          ShortRetryDelay});
   return refuse(
       Refusal{RefusalKind::InDoubt, ExecutionStatus::Unknown,
               absl::StrCat("the outcome is unknown: attempt ",
--- a/src/router/service_call.h
+++ b/src/router/service_call.h
@@ -48,7 +48,16 @@
   ServiceAnswer runNonIdempotent();
   ServiceAnswer dispatchClaimed(const Claim &OwnClaim);
   ServiceAnswer answerFromOwner(const ClaimEvaluation &Evaluation);
-  bool fetchCachedAnswer(const ClaimEntry &Owner, CachedAnswer &Answer);
+  enum class CacheLookup {
+    Found,
+    /// The owner replied that it has no answer.
+    NotCached,
+    /// The owner has no known address or did not reply.
+    NoReply
+  };
+  CacheLookup fetchCachedAnswer(const ClaimEntry &Owner, CachedAnswer &Answer);
+  /// True when the incarnation that holds the claim can no longer answer.
+  bool hasOwnerEnded(const Claim &OwnersClaim) const;
   ServiceResult callReplica(Replica &Target);
   int pickReplica(const ReplicaList &Replicas,
                   const std::vector<uint64_t> &Avoid) const;
--- a/test/router_failure_test.cpp
+++ b/test/router_failure_test.cpp
@@ -56,6 +56,24 @@
   }
 }
 
+TEST_CASE("An answer at a host that does not reply is not in doubt") {
+  TestFleet Fleet(3);
+  Fleet.publishInitialTable();
+  std::string Key = makeIdempotencyKey();
+  REQUIRE(Fleet.sendNonIdempotent(0, Key, "{}").Status == 200);
+  // The log holds the outcome of the run once another host repeats the answer.
+  REQUIRE(eventually(
+      [&] { return Fleet.sendNonIdempotent(1, Key, "{}").Status == 200; }));
+  Fleet.partitioned().set(Fleet.host(0).address(), true);
+  HttpOutcome Answer = Fleet.sendNonIdempotent(1, Key, "{}");
+  CHECK(textAt(errorObject(Answer), "type") == "already_running");
+  CHECK(textAt(errorObject(Answer), "ran") == "unknown");
+  Fleet.partitioned().set(Fleet.host(0).address(), false);
+  CHECK(eventually(
+      [&] { return Fleet.sendNonIdempotent(1, Key, "{}").Status == 200; }));
+  CHECK(Fleet.runCount(Key) == 1);
+}
+
 // Verifies that the outcome of a non-idempotent request whose answer was lost
 // stays unknown and that no host runs it again, also after the first host was
 // killed. Only an operator may state that it did not run.
