Say of a bill that it is late when it is late

berylramp-load read the log once, right after the load, before a holder had appended the last bills, and called them missing. It reads again for up to ten seconds and reports how many came late; what is missing then is a violation as before.

--- a/src/tools/load/main.cpp
+++ b/src/tools/load/main.cpp
@@ -12,6 +12,7 @@
 #include "experiment.h"
 #include "report.h"
 
+#include "absl/time/clock.h"
 #include <fstream>
 #include <iostream>
 #include <tclap/CmdLine.h>
@@ -120,6 +121,33 @@
   return Result;
 }
 
+/// Time in which the hosts append the bills of complete answers to the log.
+constexpr absl::Duration BillLogTimeout = absl::Seconds(10);
+constexpr absl::Duration BillReadInterval = absl::Milliseconds(200);
+
+/// Audits the answers against the log. A host may append a bill after its
+/// answer, so the log is read again until it holds all bills or the timeout
+/// has passed.
+RunReport auditAnswers(const std::vector<Sample> &Samples, const Table &Prices,
+                       const LogPort &Log) {
+  absl::Time Deadline = absl::Now() + BillLogTimeout;
+  RunReport Report;
+  int64_t FirstMissing = -1;
+  while (true) {
+    absl::StatusOr<BillState> Bills = cli::readBills(Log);
+    if (!Bills.ok())
+      std::cerr << Bills.status().message() << "\n";
+    Report = summarize(Samples, Prices, Bills.ok() ? *Bills : BillState{});
+    auto Missing = static_cast<int64_t>(Report.Bills.Missing.size());
+    if (FirstMissing < 0)
+      FirstMissing = Missing;
+    Report.LateBills = FirstMissing - Missing;
+    if (Missing == 0 || absl::Now() > Deadline)
+      return Report;
+    absl::SleepFor(BillReadInterval);
+  }
+}
+
 int runLoad(const Options &Opts, const Workload &Load) {
   auto Pool = std::make_shared<HttpClientPool>();
   Table Prices = fetchTable(*Pool, Load);
@@ -136,11 +164,7 @@
     std::cout << "direct to the engine\n" << reportToText(Direct) << "\n";
   }
   std::vector<Sample> Samples = Driver(Load).run(nullptr, "");
-  absl::StatusOr<BillState> Bills = cli::readBills(makeHttpLog(Pool, Load.Log));
-  if (!Bills.ok())
-    std::cerr << Bills.status().message() << "\n";
-  RunReport Routed =
-      summarize(Samples, Prices, Bills.ok() ? *Bills : BillState{});
+  RunReport Routed = auditAnswers(Samples, Prices, makeHttpLog(Pool, Load.Log));
   Routed.RepeatedExecutions = countRepeatedExecutions(*Pool, Load);
   Report["routed"] = reportToJson(Routed);
   std::cout << reportToText(Routed);
--- a/src/tools/load/report.cpp
+++ b/src/tools/load/report.cpp
@@ -129,6 +129,7 @@
   Result["bills"]["counted"] = Json::Int64(Report.BillsCounted);
   Result["bills"]["repeats"] = Json::Int64(Report.Bills.Repeats);
   Result["bills"]["missing"] = Json::UInt64(Report.Bills.Missing.size());
+  Result["bills"]["late"] = Json::Int64(Report.LateBills);
   Result["bills"]["orphans"] = Json::UInt64(Report.Bills.Orphans.size());
   Result["doubled_orders"] = Json::Int64(Report.RepeatedExecutions);
   return Result;
@@ -165,6 +166,7 @@
                                   Report.Bills.Missing.size(),
                                   Report.Bills.Orphans.size(),
                                   Report.Bills.Repeats));
+  absl::StrAppend(&Text, absl::StrFormat("late bills: %d\n", Report.LateBills));
   absl::StrAppend(&Text, absl::StrFormat("orders run more than once: %d\n",
                                          Report.RepeatedExecutions));
   return Text;
--- a/src/tools/load/report.h
+++ b/src/tools/load/report.h
@@ -45,6 +45,8 @@
   MicroCost LargestCost;
   BillAudit Bills;
   int64_t BillsCounted = 0;
+  /// Bills that the log did not hold yet when the load ended.
+  int64_t LateBills = 0;
   /// Number of idempotency keys that a service executed more than once.
   int64_t RepeatedExecutions = 0;
 };
