Keep away from replicas that leave or ask for a pause

Cause: a host knew of a leaving replica from the store's entry alone; while the store is away, requests went on to it. A replica's Retry-After was not read: a replica that refused was tried again after 150 ms, and as a last resort at once. Change: every answer may state that its replica leaves; the replica is excluded at once, whatever the store says, until a process with another start appears. The notice outlives the entry, which the store may remove and return. The first host that learns it tells the hosts of its region. A 503 with Retry-After excludes the replica until that time, also as a last resort; when all replicas of a service pause, callers are refused at once with the time at which the first one returns. Values that are negative, no number or beyond ten minutes are bounded and logged. A drained replica does not become ready again in the same process, and entries with a lower sequence or an earlier start than the known one are ignored: a store that lost records returns such entries. Answers with the id of another request are now discarded before a 421 or a refusal in them is believed.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -175,6 +175,8 @@
   std::string ExpectReplica;
   /// "running,waiting,slots" of the answering replica.
   std::string ReplicaLoad;
+  /// "1" in the answers of a replica that is shutting down.
+  std::string ReplicaLeaving;
   /// States that the replica did not execute the request.
   std::string NotExecuted;
   std::string Model;
@@ -232,6 +234,8 @@
   /// Called when work was sent to a replica, to notify the other hosts that use
   /// the same replicas.
   std::function<void(const Replica &, absl::Duration Work)> OnWorkSent;
+  /// Called when a replica stated for the first time that it is shutting down.
+  std::function<void(const Replica &)> OnReplicaLeaving;
   /// Called when a different replica answered at the address of this one.
   std::function<void(const UpstreamId &)> OnMisdirected;
 };
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -41,6 +41,17 @@
   int64_t WorkMs = 0;
 };
 
+/// Report that a replica is shutting down.
+struct LeavingReport {
+  /// Hash of the replica's id.
+  uint64_t Replica = 0;
+  /// Start of the replica's process in Unix milliseconds.
+  int64_t StartedAtMs = 0;
+};
+
+std::string encodeLeavingReport(const LeavingReport &Report);
+/// False when \p Datagram is no report of a leaving replica.
+bool decodeLeavingReport(const std::string &Datagram, LeavingReport &Report);
 std::string encodeWorkReport(const WorkReport &Report);
 /// False when \p Datagram is no work report.
 bool decodeWorkReport(const std::string &Datagram, WorkReport &Report);
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -14,6 +14,7 @@
 #include "berylramp/units.h"
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,10 @@
   bool Draining = false;
   /// Start of the replica's process in Unix milliseconds; 0 when not stated.
   int64_t StartedAtMs = 0;
+  /// Counts the writes of the entry since the start of the replica.
+  int64_t Sequence = 0;
 
+  /// Compares all fields but the sequence, which changes with each heartbeat.
   friend bool operator==(const ReplicaEntry &A, const ReplicaEntry &B) {
     return A.Id == B.Id && A.Service == B.Service && A.Address == B.Address &&
            A.Place == B.Place && A.Version == B.Version && A.Slots == B.Slots &&
@@ -87,9 +91,26 @@
 /// prompt's length.
 double effectiveTokens(int64_t Tokens);
 
+/// What the process of a replica stated about itself. It holds until the
+/// replica starts anew, also when its entry is removed and returns.
+struct ReplicaNotice {
+  int64_t StartedAtMs = 0;
+  /// The sequence of the last entry before its removal.
+  int64_t RemovedSequence = 0;
+  /// The replica is shutting down.
+  bool Leaving = false;
+  /// The replica asked to receive no request before this time.
+  Instant PausedUntil;
+  Instant ExpiresAt;
+};
+
 /// A replica with the state that this host tracks for it.
 struct Replica {
   ReplicaEntry Entry;
+  /// The replica is shutting down; it receives no further request.
+  bool Leaving = false;
+  /// The replica asked to receive no request before this time.
+  Instant PausedUntil;
   /// The entry was removed from the store.
   bool Removed = false;
   /// When a removed replica stops being a candidate.
@@ -230,9 +251,24 @@
   /// Marks a replica whose entry was removed from the store. It stays usable
   /// for \p GracePeriod.
   void remove(const UpstreamId &Id, Instant Now, absl::Duration GracePeriod);
+  /// Whether \p Entry is older than what is known of the replica. A store that
+  /// lost records returns such entries.
+  bool isOutdated(const ReplicaEntry &Entry) const;
+  /// Excludes a replica that is shutting down until it starts anew. Returns
+  /// false when that was known.
+  bool markLeaving(const UpstreamId &Id, Instant Now);
+  /// The same for a replica that another host reported. Returns its id, or
+  /// nothing when the replica is unknown, started anew or was marked before.
+  std::optional<UpstreamId> markLeaving(uint64_t IdHash, int64_t StartedAtMs,
+                                        Instant Now);
+  /// Sends the replica nothing before \p Until.
+  void pause(const UpstreamId &Id, Instant Until);
+  /// When the first of the replicas that could serve \p Query but asked for a
+  /// pause accepts requests again; the infinite future when there is none.
+  Instant earliestPauseEnd(const ChoiceQuery &Query) const;
   /// Drops a replica at once, e.g. when another replica answers at its address.
   void evict(const UpstreamId &Id, Instant Now);
-  /// Drops removed replicas whose grace period has passed.
+  /// Drops removed replicas whose grace period has passed, and expired notices.
   void sweep(Instant Now);
   /// The best choice for \p Query; its replica is null when there is none.
   Choice choose(const ChoiceQuery &Query) const;
@@ -265,6 +301,9 @@
   /// The replicas that \p Query allows, without ejected and full ones unless
   /// there are no others.
   std::vector<ReplicaPtr> candidates(const ChoiceQuery &Query) const;
+  /// Whether \p Query allows the replica, available or not.
+  bool isEligible(const Replica &Candidate, const ChoiceQuery &Query) const;
+  ReplicaNotice &noticeOf(const Replica &Target, Instant Now);
   void eject(Replica &Target, Instant Now) const;
   Choice chooseEngine(const ChoiceQuery &Query,
                       const std::vector<ReplicaPtr> &Available) const;
@@ -274,6 +313,8 @@
   ChoiceSettings Settings;
   absl::flat_hash_map<std::string, ReplicaPtr> ById;
   absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> ByService;
+  absl::flat_hash_map<uint64_t, ReplicaPtr> ByHash;
+  absl::flat_hash_map<std::string, ReplicaNotice> Notices;
 };
 
 } // namespace berylramp
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -128,8 +128,12 @@
   }
   bool Unchanged =
       Known != nullptr && !Known->Removed && Known->Entry == *Entry;
-  if (Unchanged)
+  if (this->Registry.isOutdated(*Entry))
     return;
+  if (Unchanged) {
+    Known->Entry.Sequence = Entry->Sequence;
+    return;
+  }
   // A replica's heartbeats change only the text of its record; they are not
   // cached for peers.
   this->Cache.put(StoreTopic::Replicas, Record, ReadTo);
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -64,6 +64,10 @@
       this->Link->sendWorkReport(
           {Target.IdHash, absl::ToInt64Milliseconds(Work)}, Target.Entry.Place);
   };
+  Hooks.OnReplicaLeaving = [this](const Replica &Leaving) {
+    this->logLeavingReplica(Leaving.Entry.Id, "answer");
+    this->Link->sendLeavingReport({Leaving.IdHash, Leaving.Entry.StartedAtMs});
+  };
   Hooks.OnMisdirected = [this](const UpstreamId &Id) {
     Json::Value Line(Json::objectValue);
     Line["replica"] = Id.text();
@@ -73,6 +77,14 @@
   return Hooks;
 }
 
+void EdgeDaemon::State::logLeavingReplica(const UpstreamId &Id,
+                                          const char *Source) const {
+  Json::Value Line(Json::objectValue);
+  Line["replica"] = Id.text();
+  Line["source"] = Source;
+  logEvent(LogLevel::Info, "replica_leaving", Line);
+}
+
 std::unique_ptr<HttpListener>
 EdgeDaemon::State::makeListener(RequestHandler Handler) {
   return std::make_unique<HttpListener>(
@@ -140,6 +152,12 @@
     this->Registry.addRemoteWork(
         Report.Replica, absl::Milliseconds(Report.WorkMs), this->Timer.now());
   };
+  this->Link->OnLeavingReport = [this](const LeavingReport &Report) {
+    std::optional<UpstreamId> Id = this->Registry.markLeaving(
+        Report.Replica, Report.StartedAtMs, this->Timer.now());
+    if (Id)
+      this->logLeavingReplica(*Id, "peer");
+  };
   for (const Endpoint &Seed : this->Config.Seeds)
     this->Peers.addAddress(parseIp(Seed.Ip), this->Timer.now());
   absl::Status Opened = this->Link->open();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -71,6 +71,7 @@
   std::unique_ptr<HttpListener> makeListener(RequestHandler Handler);
   ExchangeSettings exchangeSettings() const;
   ExchangeHooks exchangeHooks();
+  void logLeavingReplica(const UpstreamId &Id, const char *Source) const;
 
   void applyOperatorRecords(const std::vector<StoreRecord> &Records,
                             Offset ReadTo);
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -64,10 +64,10 @@
   this->Counters.count(Counter::PeerExchanges);
 }
 
-void PeerLink::sendWorkReport(const WorkReport &Report, const PlaceId &Place) {
-  std::string Datagram = encodeWorkReport(Report);
+void PeerLink::broadcast(const std::string &Datagram,
+                         const std::function<bool(const PlaceId &)> &Includes) {
   for (const Peer *Target : this->Peers.live(this->Timer.now())) {
-    if (Target->State.Place != Place)
+    if (!Includes(Target->State.Place))
       continue;
     boost::system::error_code Error;
     udp::endpoint Address(boost::asio::ip::address_v4(Target->State.Ip),
@@ -81,6 +81,19 @@
   }
 }
 
+void PeerLink::sendWorkReport(const WorkReport &Report, const PlaceId &Place) {
+  this->broadcast(encodeWorkReport(Report),
+                  [&](const PlaceId &Other) { return Other == Place; });
+}
+
+void PeerLink::sendLeavingReport(const LeavingReport &Report) {
+  this->broadcast(encodeLeavingReport(Report), [this](const PlaceId &Other) {
+    auto Region = this->Config.Regions.find(Other);
+    return Region != this->Config.Regions.end() &&
+           Region->second == this->Config.Region;
+  });
+}
+
 void PeerLink::receive() {
   auto Self = this->shared_from_this();
   this->Socket.async_wait(
@@ -97,9 +110,12 @@
           Self->Counters.count(Counter::PeerBytesReceived,
                                static_cast<int64_t>(Count));
           std::string Datagram(Bytes.data(), Count);
-          WorkReport Report;
-          if (decodeWorkReport(Datagram, Report))
-            Self->OnWorkReport(Report);
+          WorkReport Work;
+          LeavingReport Leaving;
+          if (decodeWorkReport(Datagram, Work))
+            Self->OnWorkReport(Work);
+          else if (decodeLeavingReport(Datagram, Leaving))
+            Self->OnLeavingReport(Leaving);
           else if (!Self->Peers.merge(Datagram, Self->Timer.now()))
             Self->Counters.count(Counter::PeerExchangeFailures);
         }
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -28,6 +28,10 @@
   void sendState();
   /// Reports prefill work to the hosts of the replica's data centre \p Place.
   void sendWorkReport(const WorkReport &Report, const PlaceId &Place);
+  /// Reports a replica that is shutting down to the hosts of this region.
+  void sendLeavingReport(const LeavingReport &Report);
+  /// Called for each report of a leaving replica that a peer sent.
+  std::function<void(const LeavingReport &)> OnLeavingReport;
   /// Called for each work report that a peer sent.
   std::function<void(const WorkReport &)> OnWorkReport;
   /// Requests records from a peer. False when another request is in progress or
@@ -37,6 +41,9 @@
 
 private:
   void receive();
+  /// Sends a datagram to the live hosts in the places that \p Includes selects.
+  void broadcast(const std::string &Datagram,
+                 const std::function<bool(const PlaceId &)> &Includes);
 
   boost::asio::io_context &Loop;
   LoopTimer &Timer;
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include <algorithm>
+#include <cmath>
 
 namespace berylramp {
 
@@ -33,6 +34,9 @@
   });
 }
 
+/// A replica that needs a longer pause is replaced.
+constexpr absl::Duration MaxPause = absl::Minutes(10);
+
 int64_t parseNumber(absl::string_view Text) {
   int64_t Value = 0;
   return absl::SimpleAtoi(Text, &Value) ? Value : 0;
@@ -145,6 +149,18 @@
          absl::SimpleAtoi(Values[2], &Load.Slots);
 }
 
+PauseRequest parsePause(const std::string &Text) {
+  PauseRequest Pause;
+  double Seconds = 0;
+  if (!absl::SimpleAtod(Text, &Seconds) || !std::isfinite(Seconds) ||
+      Seconds < 0)
+    return Pause;
+  absl::Duration Stated = absl::Seconds(Seconds);
+  Pause.Length = std::min(Stated, MaxPause);
+  Pause.Accepted = Stated <= MaxPause;
+  return Pause;
+}
+
 double hashToUnitInterval(absl::string_view Text) {
   // A double represents 53 bits exactly, so the result never rounds up to 1.
   constexpr double Range = 9007199254740992.0;
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -51,6 +51,17 @@
 /// Parses "running,waiting,slots"; returns false for any other form.
 bool parseLoad(const std::string &Text, ReportedLoad &Load);
 
+/// A replica's request to receive nothing for a while.
+struct PauseRequest {
+  absl::Duration Length = absl::ZeroDuration();
+  /// False when the stated value is no number of seconds or out of range.
+  bool Accepted = false;
+};
+
+/// Parses a Retry-After value in seconds, which may have a fraction. Longer
+/// values than an operator would wait for are cut.
+PauseRequest parsePause(const std::string &Text);
+
 /// Maps \p Text to [0, 1) deterministically.
 double hashToUnitInterval(absl::string_view Text);
 
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -205,6 +205,13 @@
     Chosen = this->Core.Registry.choose(Query);
   }
   if (Chosen.Target == nullptr) {
+    Instant PauseEnd = this->Core.Registry.earliestPauseEnd(Query);
+    if (PauseEnd.SinceStart < absl::InfiniteDuration()) {
+      this->failRequest(RefusalKind::Overloaded,
+                        "all replicas of the service asked for a pause",
+                        PauseEnd - Query.Now);
+      return;
+    }
     this->failRequest(RefusalKind::NoReplica,
                       "no replica of the service is available");
     return;
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -55,9 +55,14 @@
 
   void forwardEvents(Attempt &Source, const std::string &Chunk);
   void forwardAnswer(Attempt &Source);
+  /// Applies what the replica states about itself in \p Head.
+  void noteReplicaState(const Attempt &Source, const HttpHead &Head);
   bool shouldEscalate(const HttpHead &Head);
   bool largerModelIsLate();
-  void failRequest(RefusalKind Kind, const std::string &Detail);
+  /// \p RetryAfter is used when the request was provably not executed; zero
+  /// selects the delay of \p Kind.
+  void failRequest(RefusalKind Kind, const std::string &Detail,
+                   absl::Duration RetryAfter = absl::ZeroDuration());
   void refuse(RefusalKind Kind, const std::string &Detail,
               absl::Duration RetryAfter);
   void onDeadline();
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -33,26 +33,27 @@
     this->Core.Registry.onLoadReport(*Source.TargetReplica, Load);
     this->LastLoad = Load;
   }
+  const std::string *Id = findHeader(Head.Headers, Names.RequestId);
+  if (Id != nullptr && *Id != this->RequestId) {
+    this->onAttemptFailed(Source, RetryReason::CrossedAnswer,
+                          Outcome::ConnectionFailed, true);
+    return;
+  }
   if (Head.Status == 421) {
     this->onAttemptRejected(Source, Outcome::Misdirected);
     return;
   }
+  this->noteReplicaState(Source, Head);
   bool NotExecuted = findHeader(Head.Headers, Names.NotExecuted) != nullptr;
   if (NotExecuted && Head.Status != 400) {
     this->onAttemptRejected(Source, Outcome::Full);
     return;
   }
-  const std::string *Id = findHeader(Head.Headers, Names.RequestId);
-  bool Mismatched = Id != nullptr ? *Id != this->RequestId : Head.Status < 300;
-  if (Mismatched) {
-    this->onAttemptFailed(Source, RetryReason::CrossedAnswer,
-                          Outcome::ConnectionFailed, true);
-    return;
-  }
   bool Success = Head.Status >= 200 && Head.Status < 300;
   bool Signed = findHeader(Head.Headers, Names.Signature) != nullptr;
   bool Encoded = findHeader(Head.Headers, "Content-Encoding") != nullptr;
-  if (Success && (!Signed || Encoded)) {
+  bool Informational = Head.Status < 200;
+  if (Informational || (Success && (Id == nullptr || !Signed || Encoded))) {
     this->onAttemptFailed(Source, RetryReason::CrossedAnswer,
                           Outcome::ConnectionFailed, true);
     return;
@@ -69,6 +70,30 @@
   Source.IsStreaming = Success && this->MatchedRoute->EventStream;
 }
 
+void Relay::noteReplicaState(const Attempt &Source, const HttpHead &Head) {
+  const UpstreamId &Id = Source.TargetReplica->Entry.Id;
+  const std::string *Leaving =
+      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLeaving);
+  if (Leaving != nullptr && *Leaving == "1") {
+    this->Core.Pool.removeReplica(Id);
+    if (this->Core.Registry.markLeaving(Id, this->now()))
+      this->Core.Hooks.OnReplicaLeaving(*Source.TargetReplica);
+  }
+  const std::string *RetryAfter = findHeader(Head.Headers, "Retry-After");
+  if (Head.Status != 503 || RetryAfter == nullptr)
+    return;
+  PauseRequest Pause = parsePause(*RetryAfter);
+  this->Core.Registry.pause(Id, this->now() + Pause.Length);
+  Json::Value Line(Json::objectValue);
+  Line["request"] = this->RequestId;
+  Line["replica"] = Id.text();
+  Line["pause_ms"] = absl::ToInt64Milliseconds(Pause.Length);
+  if (!Pause.Accepted)
+    Line["unusable_value"] = *RetryAfter;
+  logEvent(Pause.Accepted ? LogLevel::Info : LogLevel::Warn, "replica_paused",
+           Line);
+}
+
 bool Relay::largerModelIsLate() {
   size_t CurrentIndex = this->ModelIndex;
   this->ModelIndex = nextModel(this->Cascade, CurrentIndex);
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -15,7 +15,8 @@
 
 namespace berylramp {
 
-void Relay::failRequest(RefusalKind Kind, const std::string &Detail) {
+void Relay::failRequest(RefusalKind Kind, const std::string &Detail,
+                        absl::Duration RetryAfter) {
   if (this->StreamStarted) {
     this->CallerResponder->abort();
     this->finish("broken", 0, Detail);
@@ -23,8 +24,9 @@
   }
   if (this->Execution.provablyNotExecuted()) {
     bool Busy = Kind != RefusalKind::NoReplica;
-    this->refuse(Busy ? RefusalKind::Overloaded : Kind, Detail,
-                 Busy ? RetryDelayWhenBusy : RetryDelayWhenStarting);
+    if (RetryAfter == absl::ZeroDuration())
+      RetryAfter = Busy ? RetryDelayWhenBusy : RetryDelayWhenStarting;
+    this->refuse(Busy ? RefusalKind::Overloaded : Kind, Detail, RetryAfter);
     return;
   }
   this->refuse(RefusalKind::UpstreamFailed, Detail, absl::ZeroDuration());
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -21,6 +21,8 @@
 constexpr int LayoutVersion = 2;
 /// Identifies a datagram with a work report.
 constexpr int WorkReportLayout = 101;
+/// Identifies a datagram with a report of a leaving replica.
+constexpr int LeavingReportLayout = 102;
 /// Fits one Ethernet frame together with the protocol headers.
 constexpr size_t MaxDatagramBytes = 1350;
 /// A peer that was not seen for this long does not count as live. Equals eight
@@ -125,32 +127,25 @@
   return State;
 }
 
-bool isNewer(const PeerState &A, const PeerState &B) {
-  if (A.IncarnationId != B.IncarnationId)
-    return A.IncarnationId > B.IncarnationId;
-  return A.Heartbeat > B.Heartbeat;
-}
-
-} // namespace
-
-std::string encodeWorkReport(const WorkReport &Report) {
+std::string encodeReplicaReport(int Layout, uint64_t Replica, int64_t Value) {
   msgpack::sbuffer Bytes;
   Packer Writer(Bytes);
   Writer.pack_array(3);
-  Writer.pack(WorkReportLayout);
-  Writer.pack(Report.Replica);
-  Writer.pack(Report.WorkMs);
+  Writer.pack(Layout);
+  Writer.pack(Replica);
+  Writer.pack(Value);
   return {Bytes.data(), Bytes.size()};
 }
 
-bool decodeWorkReport(const std::string &Datagram, WorkReport &Report) {
+bool decodeReplicaReport(const std::string &Datagram, int Layout,
+                         uint64_t &Replica, int64_t &Value) {
   try {
     msgpack::object_handle Handle = unpackBounded(Datagram);
     const msgpack::object *Fields = arrayFields(Handle.get(), 3);
-    if (Fields[0].as<int>() != WorkReportLayout)
+    if (Fields[0].as<int>() != Layout)
       return false;
-    Report.Replica = Fields[1].as<uint64_t>();
-    Report.WorkMs = Fields[2].as<int64_t>();
+    Replica = Fields[1].as<uint64_t>();
+    Value = Fields[2].as<int64_t>();
     return true;
   } catch (const std::exception &) {
     // The datagram is of another kind, which the caller decodes next.
@@ -158,6 +153,33 @@
   }
 }
 
+bool isNewer(const PeerState &A, const PeerState &B) {
+  if (A.IncarnationId != B.IncarnationId)
+    return A.IncarnationId > B.IncarnationId;
+  return A.Heartbeat > B.Heartbeat;
+}
+
+} // namespace
+
+std::string encodeWorkReport(const WorkReport &Report) {
+  return encodeReplicaReport(WorkReportLayout, Report.Replica, Report.WorkMs);
+}
+
+bool decodeWorkReport(const std::string &Datagram, WorkReport &Report) {
+  return decodeReplicaReport(Datagram, WorkReportLayout, Report.Replica,
+                             Report.WorkMs);
+}
+
+std::string encodeLeavingReport(const LeavingReport &Report) {
+  return encodeReplicaReport(LeavingReportLayout, Report.Replica,
+                             Report.StartedAtMs);
+}
+
+bool decodeLeavingReport(const std::string &Datagram, LeavingReport &Report) {
+  return decodeReplicaReport(Datagram, LeavingReportLayout, Report.Replica,
+                             Report.StartedAtMs);
+}
+
 std::string PeerTable::encode(Instant Now) {
   this->Self.Heartbeat += 1;
   std::vector<const Peer *> Others = this->live(Now);
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -39,6 +39,10 @@
 /// Largest fraction of a service's replicas that may be ejected at a time.
 constexpr double MaxEjectedFraction = 0.5;
 
+/// Notices of replicas are kept for this long after their last change. An entry
+/// from before the notice is gone by then.
+constexpr absl::Duration NoticeLifetime = absl::Seconds(60);
+
 bool contains(const std::vector<UpstreamId> &Ids, const UpstreamId &Id) {
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
@@ -104,9 +108,71 @@
     Slot = std::make_shared<Replica>();
     Slot->IdHash = stableHash(Entry.Id.text());
     this->ByService[Entry.Service.text()].push_back(Slot);
+    this->ByHash[Slot->IdHash] = Slot;
+    auto Notice = this->Notices.find(Entry.Id.text());
+    if (Notice != this->Notices.end() &&
+        Notice->second.StartedAtMs == Entry.StartedAtMs) {
+      Slot->Leaving = Notice->second.Leaving;
+      Slot->PausedUntil = Notice->second.PausedUntil;
+    }
   }
   Slot->Entry = Entry;
   Slot->Removed = false;
+  if (Entry.Draining)
+    this->markLeaving(Entry.Id, Now);
+}
+
+bool UpstreamRegistry::isOutdated(const ReplicaEntry &Entry) const {
+  ReplicaPtr Known = this->find(Entry.Id);
+  if (Known != nullptr && Entry.StartedAtMs != Known->Entry.StartedAtMs)
+    return Entry.StartedAtMs < Known->Entry.StartedAtMs;
+  if (Known != nullptr && !Known->Removed)
+    return Entry.Sequence < Known->Entry.Sequence;
+  auto Notice = this->Notices.find(Entry.Id.text());
+  return Notice != this->Notices.end() &&
+         (Entry.StartedAtMs < Notice->second.StartedAtMs ||
+          (Entry.StartedAtMs == Notice->second.StartedAtMs &&
+           Entry.Sequence < Notice->second.RemovedSequence));
+}
+
+ReplicaNotice &UpstreamRegistry::noticeOf(const Replica &Target, Instant Now) {
+  ReplicaNotice &Notice = this->Notices[Target.Entry.Id.text()];
+  if (Notice.StartedAtMs != Target.Entry.StartedAtMs)
+    Notice = ReplicaNotice();
+  Notice.StartedAtMs = Target.Entry.StartedAtMs;
+  Notice.ExpiresAt = std::max(Notice.ExpiresAt, Now + NoticeLifetime);
+  return Notice;
+}
+
+bool UpstreamRegistry::markLeaving(const UpstreamId &Id, Instant Now) {
+  ReplicaPtr Found = this->find(Id);
+  if (Found == nullptr)
+    return false;
+  this->noticeOf(*Found, Now).Leaving = true;
+  bool IsNew = !Found->Leaving;
+  Found->Leaving = true;
+  return IsNew;
+}
+
+std::optional<UpstreamId> UpstreamRegistry::markLeaving(uint64_t IdHash,
+                                                        int64_t StartedAtMs,
+                                                        Instant Now) {
+  auto Found = this->ByHash.find(IdHash);
+  if (Found == this->ByHash.end() ||
+      Found->second->Entry.StartedAtMs != StartedAtMs)
+    return std::nullopt;
+  UpstreamId Id = Found->second->Entry.Id;
+  if (!this->markLeaving(Id, Now))
+    return std::nullopt;
+  return Id;
+}
+
+void UpstreamRegistry::pause(const UpstreamId &Id, Instant Until) {
+  ReplicaPtr Found = this->find(Id);
+  if (Found == nullptr)
+    return;
+  Found->PausedUntil = std::max(Found->PausedUntil, Until);
+  this->noticeOf(*Found, Until).PausedUntil = Found->PausedUntil;
 }
 
 void UpstreamRegistry::remove(const UpstreamId &Id, Instant Now,
@@ -116,6 +182,7 @@
     return;
   Found->Removed = true;
   Found->UsableUntil = Now + GracePeriod;
+  this->noticeOf(*Found, Now).RemovedSequence = Found->Entry.Sequence;
 }
 
 void UpstreamRegistry::evict(const UpstreamId &Id, Instant Now) {
@@ -126,6 +193,7 @@
   Found->UsableUntil = Now;
   auto &Group = this->ByService[Found->Entry.Service.text()];
   Group.erase(std::remove(Group.begin(), Group.end(), Found), Group.end());
+  this->ByHash.erase(Found->IdHash);
   this->ById.erase(Id.text());
 }
 
@@ -136,6 +204,9 @@
       Expired.push_back(Record->Entry.Id);
   for (const UpstreamId &Id : Expired)
     this->evict(Id, Now);
+  absl::erase_if(this->Notices, [&](const auto &Notice) {
+    return Notice.second.ExpiresAt < Now;
+  });
 }
 
 std::vector<UpstreamId> UpstreamRegistry::ids() const {
@@ -155,6 +226,23 @@
   return Own / Slots;
 }
 
+bool UpstreamRegistry::isEligible(const Replica &Candidate,
+                                  const ChoiceQuery &Query) const {
+  bool Expired = Candidate.Removed && !(Query.Now < Candidate.UsableUntil);
+  return !Expired && !Candidate.Leaving && !Candidate.Entry.Draining &&
+         allows(Query.Rule, Candidate.Entry.Version) &&
+         !contains(Query.Tried, Candidate.Entry.Id);
+}
+
+Instant UpstreamRegistry::earliestPauseEnd(const ChoiceQuery &Query) const {
+  Instant Earliest{absl::InfiniteDuration()};
+  for (const ReplicaPtr &Candidate : this->replicasOf(Query.Service))
+    if (this->isEligible(*Candidate, Query) &&
+        Query.Now < Candidate->PausedUntil)
+      Earliest = std::min(Earliest, Candidate->PausedUntil);
+  return Earliest;
+}
+
 std::vector<ReplicaPtr>
 UpstreamRegistry::candidates(const ChoiceQuery &Query) const {
   std::vector<ReplicaPtr> Available;
@@ -163,10 +251,8 @@
     return Available;
   std::vector<ReplicaPtr> Unavailable;
   for (const ReplicaPtr &Candidate : Group->second) {
-    bool Expired = Candidate->Removed && !(Query.Now < Candidate->UsableUntil);
-    if (Expired || Candidate->Entry.Draining ||
-        !allows(Query.Rule, Candidate->Entry.Version) ||
-        contains(Query.Tried, Candidate->Entry.Id))
+    if (!this->isEligible(*Candidate, Query) ||
+        Query.Now < Candidate->PausedUntil)
       continue;
     bool Excluded =
         Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
@@ -334,10 +420,12 @@
 void UpstreamRegistry::addRemoteWork(uint64_t IdHash,
                                      absl::Duration PrefillTime,
                                      Instant Now) const {
-  for (const auto &[Text, Record] : this->ById)
-    if (Record->IdHash == IdHash)
-      Record->BusyUntil =
-          std::max(Record->BusyUntil, Now, std::less<>()) + PrefillTime;
+  auto Found = this->ByHash.find(IdHash);
+  if (Found == this->ByHash.end())
+    return;
+  Replica &Target = *Found->second;
+  Target.BusyUntil =
+      std::max(Target.BusyUntil, Now, std::less<>()) + PrefillTime;
 }
 
 void UpstreamRegistry::eject(Replica &Target, Instant Now) const {
--- a/test/edge_fixture.cpp
+++ b/test/edge_fixture.cpp
@@ -162,6 +162,25 @@
   return Caller;
 }
 
+ServingFixture::ServingFixture() {
+  this->putTable(1, {"key-1"});
+  this->putReplicas();
+  this->start();
+  REQUIRE(this->runUntil([&] {
+    RawCaller Probe(this->Loop, this->Config.Ready);
+    Probe.send("GET /berylramp/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->runUntil(
+        [&] { return Probe.hasCompleteAnswer() || Probe.isClosed(); });
+    return Probe.status() == 200;
+  }));
+}
+
+void ServingFixture::setBehavior(standin::ReplicaBehavior NewBehavior) {
+  for (const auto &Group : {this->Engines, this->PlainReplicas})
+    for (const auto &Instance : Group)
+      Instance->Behavior = NewBehavior;
+}
+
 int EdgeFixture::runCount(const std::string &Id) const {
   int Count = 0;
   for (const auto &Group : {this->Engines, this->PlainReplicas})
--- a/test/edge_fixture.h
+++ b/test/edge_fixture.h
@@ -87,6 +87,12 @@
   std::unique_ptr<EdgeDaemon> Daemon;
 };
 
+/// A daemon that is ready to serve requests.
+struct ServingFixture : EdgeFixture {
+  ServingFixture();
+  void setBehavior(standin::ReplicaBehavior NewBehavior);
+};
+
 } // namespace berylramp
 
 #endif // BERYLRAMP_TEST_EDGE_FIXTURE_H
--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -11,28 +11,6 @@
 
 namespace {
 
-/// A daemon that is ready to serve requests.
-struct ServingFixture : EdgeFixture {
-  ServingFixture() {
-    this->putTable(1, {"key-1"});
-    this->putReplicas();
-    this->start();
-    REQUIRE(this->runUntil([&] {
-      RawCaller Probe(this->Loop, this->Config.Ready);
-      Probe.send("GET /berylramp/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
-      this->runUntil(
-          [&] { return Probe.hasCompleteAnswer() || Probe.isClosed(); });
-      return Probe.status() == 200;
-    }));
-  }
-
-  void setBehavior(ReplicaBehavior NewBehavior) {
-    for (const auto &Group : {this->Engines, this->PlainReplicas})
-      for (const auto &Instance : Group)
-        Instance->Behavior = NewBehavior;
-  }
-};
-
 int countOccurrences(const std::string &Text, const std::string &Pattern) {
   int Count = 0;
   for (size_t Position = Text.find(Pattern); Position != std::string::npos;
--- a/test/edge_peers_test.cpp
+++ b/test/edge_peers_test.cpp
@@ -207,6 +207,23 @@
   CHECK(this->PlainReplicas[0]->ExecutedRequests.size() == Before);
 }
 
+TEST_CASE_METHOD(PeersFixture,
+                 "A host learns from a peer of a leaving replica") {
+  this->start();
+  this->waitForSingleReader();
+  // The entries of the store still call the replica ready.
+  this->PlainReplicas[0]->Leaving = true;
+  REQUIRE(this->runUntil([&] {
+    this->requestStatus(this->Hosts[0], "key-1");
+    return this->PlainReplicas[0]->ArrivedRequests > 0;
+  }));
+  this->runFor(absl::Milliseconds(200));
+  int64_t Before = this->PlainReplicas[0]->ArrivedRequests;
+  for (int Index = 0; Index < 10; ++Index)
+    CHECK(this->requestStatus(this->Hosts[1], "key-1") == 200);
+  CHECK(this->PlainReplicas[0]->ArrivedRequests == Before);
+}
+
 TEST_CASE_METHOD(PeersFixture, "One host reads the store for its region") {
   this->start();
   this->waitForSingleReader();
--- a/test/gossip_test.cpp
+++ b/test/gossip_test.cpp
@@ -24,6 +24,18 @@
 
 } // namespace
 
+TEST_CASE("A report of a leaving replica is told apart from others") {
+  LeavingReport Report{7, 12345};
+  std::string Datagram = encodeLeavingReport(Report);
+  LeavingReport Decoded;
+  REQUIRE(decodeLeavingReport(Datagram, Decoded));
+  CHECK(Decoded.Replica == 7);
+  CHECK(Decoded.StartedAtMs == 12345);
+  WorkReport Work;
+  CHECK_FALSE(decodeWorkReport(Datagram, Work));
+  CHECK_FALSE(decodeLeavingReport(encodeWorkReport({7, 80}), Decoded));
+}
+
 TEST_CASE("A host's state spreads through other hosts") {
   PeerTable A(makeState(1));
   PeerTable B(makeState(2));
--- a/test/upstreams_test.cpp
+++ b/test/upstreams_test.cpp
@@ -50,6 +50,88 @@
 
 } // namespace
 
+TEST_CASE("A leaving replica stays excluded until it starts anew") {
+  UpstreamRegistry Registry(makeSettings());
+  ReplicaEntry Entry = makeEntry("a");
+  Entry.StartedAtMs = 5;
+  Registry.put(Entry, atSecond(0));
+  CHECK(Registry.markLeaving(UpstreamId("a"), atSecond(0)));
+  CHECK_FALSE(Registry.markLeaving(UpstreamId("a"), atSecond(0)));
+  CHECK(Registry.choose(makeQuery(0)).Target == nullptr);
+  Registry.remove(UpstreamId("a"), atSecond(1), absl::ZeroDuration());
+  Registry.sweep(atSecond(2));
+  Registry.put(Entry, atSecond(3));
+  CHECK(Registry.choose(makeQuery(3)).Target == nullptr);
+  Entry.StartedAtMs = 6;
+  Registry.put(Entry, atSecond(4));
+  CHECK(Registry.choose(makeQuery(4)).Target != nullptr);
+}
+
+TEST_CASE("A drained replica does not become ready in the same process") {
+  UpstreamRegistry Registry(makeSettings());
+  ReplicaEntry Entry = makeEntry("a");
+  Entry.Draining = true;
+  Registry.put(Entry, atSecond(0));
+  Entry.Draining = false;
+  Registry.put(Entry, atSecond(1));
+  CHECK(Registry.choose(makeQuery(1)).Target == nullptr);
+}
+
+TEST_CASE("A peer's report excludes only the process that it names") {
+  UpstreamRegistry Registry(makeSettings());
+  ReplicaEntry Entry = makeEntry("a");
+  Entry.StartedAtMs = 5;
+  Registry.put(Entry, atSecond(0));
+  uint64_t Hash = stableHash("a");
+  CHECK_FALSE(Registry.markLeaving(Hash, 4, atSecond(0)));
+  CHECK_FALSE(Registry.markLeaving(stableHash("b"), 5, atSecond(0)));
+  CHECK(Registry.choose(makeQuery(0)).Target != nullptr);
+  CHECK(Registry.markLeaving(Hash, 5, atSecond(0)) == UpstreamId("a"));
+  CHECK(Registry.choose(makeQuery(0)).Target == nullptr);
+}
+
+TEST_CASE("A paused replica is no last resort either") {
+  UpstreamRegistry Registry(makeSettings());
+  Registry.put(makeEntry("a"), atSecond(0));
+  Registry.put(makeEntry("b"), atSecond(0));
+  Registry.pause(UpstreamId("a"), atSecond(4));
+  CHECK(Registry.choose(makeQuery(1)).Target->Entry.Id == UpstreamId("b"));
+  Registry.pause(UpstreamId("b"), atSecond(3));
+  // A shorter pause does not end a longer one.
+  Registry.pause(UpstreamId("b"), atSecond(2));
+  CHECK(Registry.choose(makeQuery(1)).Target == nullptr);
+  CHECK_FALSE(Registry.hasCapacity(makeQuery(1)));
+  CHECK(Registry.earliestPauseEnd(makeQuery(1)).SinceStart ==
+        atSecond(3).SinceStart);
+  // The pause outlives the entry.
+  Registry.evict(UpstreamId("a"), atSecond(1));
+  Registry.put(makeEntry("a"), atSecond(1));
+  CHECK(Registry.choose(makeQuery(3.5)).Target->Entry.Id == UpstreamId("b"));
+  CHECK(Registry.earliestPauseEnd(makeQuery(5)).SinceStart ==
+        absl::InfiniteDuration());
+}
+
+TEST_CASE("An entry from before the known one is outdated") {
+  UpstreamRegistry Registry(makeSettings());
+  ReplicaEntry Entry = makeEntry("a");
+  Entry.StartedAtMs = 5;
+  Entry.Sequence = 50;
+  CHECK_FALSE(Registry.isOutdated(Entry));
+  Registry.put(Entry, atSecond(0));
+  ReplicaEntry Older = Entry;
+  Older.Sequence = 47;
+  CHECK(Registry.isOutdated(Older));
+  CHECK_FALSE(Registry.isOutdated(Entry));
+  Registry.remove(Entry.Id, atSecond(1), absl::ZeroDuration());
+  Registry.sweep(atSecond(2));
+  CHECK(Registry.isOutdated(Older));
+  CHECK_FALSE(Registry.isOutdated(Entry));
+  Older.StartedAtMs = 6;
+  CHECK_FALSE(Registry.isOutdated(Older));
+  Older.StartedAtMs = 4;
+  CHECK(Registry.isOutdated(Older));
+}
+
 TEST_CASE("A near replica is preferred while it has room") {
   UpstreamRegistry Registry(makeSettings());
   Registry.put(makeEntry("far", "far"), atSecond(0));
