Follow a store that returns from an older copy

Cause: positions in a topic were offsets alone. After the store came back from a copy some seconds old, offsets are given out again: a host whose offset existed again would miss the records between, a conditional append could meet the wrong end, and peers' positions were compared across the copies. What the hosts had written themselves and what the copy lacks stayed lost. Ways weighed: (1) hold an era a host and read everything anew when it rises; the topics notice at different times, so that positions of both eras meet; (2) an era a position, compared first: chosen; (3) detect by content (a lower end offset): misses a store that has grown past it. Change: a position is an era and an offset, also in peers' queries and batches; a page of a later era than the follower's makes it read the newest records; a page from before the era that a peer reported is dropped; a reader of an earlier era counts as stale. A conditional append answered in another era has failed. Table, end states and drained replicas never go back; missing replicas get the same grace as after an outage. Not closed: an append whose condition the older copy meets by chance, in the instant before the host hears of the new era; the protocol has no condition on the era. The stand-in's store returns from a copy.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -75,6 +75,25 @@
   Hosts
 };
 
+/// Rises by one each time the store returns from an older copy of its data.
+/// Offsets of different eras do not identify the same records.
+using StoreEra = Quantity<struct StoreEraTag>;
+
+/// A position in a topic of the store.
+struct StorePosition {
+  StoreEra Era;
+  /// Offset of the next read; NoOffset before the first read.
+  Offset Next = NoOffset;
+
+  friend bool operator==(const StorePosition &A, const StorePosition &B) {
+    return A.Era == B.Era && A.Next == B.Next;
+  }
+  /// A position of an earlier era comes before all positions of a later one.
+  friend bool operator<(const StorePosition &A, const StorePosition &B) {
+    return A.Era == B.Era ? A.Next < B.Next : A.Era < B.Era;
+  }
+};
+
 /// A record of a key.
 struct StoreRecord {
   std::string Key;
@@ -86,13 +105,17 @@
   std::vector<StoreRecord> Records;
   /// Offset of the next read.
   Offset Next;
+  /// The era of the store that returned the page.
+  StoreEra Era;
+
+  StorePosition position() const { return {this->Era, this->Next}; }
 };
 
 using PageCallback = std::function<void(absl::StatusOr<StorePage>)>;
 using AppendCallback = std::function<void(absl::Status)>;
 
 /// The platform's store. Errors: OutOfRange when the requested records were
-/// deleted, FailedPrecondition when the topic did not end at the offset,
+/// deleted, FailedPrecondition when the topic did not end at the position,
 /// ResourceExhausted when the rate of calls is too high, Unavailable when the
 /// call had no effect; after other errors the call may have taken effect.
 struct StorePort {
@@ -101,9 +124,10 @@
   /// Reads records from an offset on; waits for the first one for at most the
   /// given duration.
   std::function<void(StoreTopic, Offset, absl::Duration, PageCallback)> Read;
-  /// Appends one record if the topic ends at the offset; a negative offset
-  /// appends unconditionally.
-  std::function<void(StoreTopic, StoreRecord, Offset, AppendCallback)> Append;
+  /// Appends one record if the topic ends at the position; NoOffset appends
+  /// unconditionally.
+  std::function<void(StoreTopic, StoreRecord, StorePosition, AppendCallback)>
+      Append;
 };
 
 /// Kind of a key in the operators' topic.
@@ -161,6 +185,9 @@
   absl::Duration PageIdleTimeout = absl::Seconds(2);
   /// Time between requests to the host that reads the store for the region.
   absl::Duration PeerReadInterval = absl::Milliseconds(500);
+  /// Time within which the hosts write their own records again after the store
+  /// returned from an older copy.
+  absl::Duration RewriteSpread = absl::Seconds(3);
   /// Time between rounds of datagrams, and the number of live peers that
   /// receive one in each round.
   absl::Duration GossipInterval = absl::Milliseconds(500);
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -140,6 +140,7 @@
 
 struct CallAnswer {
   int Status = 0;
+  std::vector<HeaderField> Headers;
   std::string Body;
 };
 
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -137,8 +137,8 @@
 }
 
 PeerQuery EdgeDaemon::State::peerQuery() const {
-  return {this->Operators->next(), this->States->next(),
-          this->Replicas->next()};
+  return {this->Operators->position(), this->States->position(),
+          this->Replicas->position()};
 }
 
 void EdgeDaemon::State::fetchFromAnyPeer(
@@ -171,7 +171,8 @@
   ReaderAnswer Answer = ReaderAnswer::Usable;
   if (!Records.ok())
     Answer = ReaderAnswer::Missing;
-  else if (Records->Age >= MaxAge)
+  else if (Records->Age >= MaxAge ||
+           Records->Replicas.Era < this->Replicas->position().Era)
     Answer = ReaderAnswer::Stale;
   recordAnswer(this->Readers, Reader, Answer, this->Timer.now());
   if (Answer != ReaderAnswer::Usable) {
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -89,12 +89,12 @@
   for (const StoreRecord &Record : Records) {
     if (!Record.Value)
       continue;
-    this->Cache.put(StoreTopic::RolloutStates, Record, ReadTo);
     auto Decoded = this->Platform.Codec.DecodeRolloutState(*Record.Value);
     if (!Decoded.ok()) {
       this->logSkippedRecord(Record.Key, Decoded.status());
       continue;
     }
+    this->Cache.put(StoreTopic::RolloutStates, Record, ReadTo);
     for (const ServiceId &Service : this->Rollouts->services())
       if (this->Platform.Codec.RolloutKey(Service) == Record.Key)
         this->Rollouts->onStateRecorded(Service, Decoded->first,
@@ -174,26 +174,91 @@
       this->Peers.addAddress(parseIp(*Record.Value), this->Timer.now());
 }
 
-void EdgeDaemon::State::advance(StoreTopic Topic, StoreFollower &Follower,
-                                const RecordBatch &Batch) {
-  if (Batch.Next == NoOffset)
+StoreFollower &EdgeDaemon::State::follower(StoreTopic Topic) const {
+  if (Topic == StoreTopic::Operators)
+    return *this->Operators;
+  return Topic == StoreTopic::RolloutStates ? *this->States : *this->Replicas;
+}
+
+void EdgeDaemon::State::noteEra(StoreEra Era) {
+  bool IsLater = this->LatestEra && *this->LatestEra < Era;
+  this->LatestEra = std::max(this->LatestEra.value_or(Era), Era);
+  if (!IsLater)
+    return;
+  Json::Value Line(Json::objectValue);
+  Line["era"] = Json::Int64(Era.count());
+  logEvent(LogLevel::Warn, "store_restored", Line);
+  // Spread over time: all hosts write at about the same moment.
+  double Part = static_cast<double>(randomUint64() % 1000) / 1000;
+  auto Weak = this->weak_from_this();
+  this->Timer.after(this->Settings.RewriteSpread * Part, [Weak] {
+    if (auto Self = Weak.lock())
+      Self->announceHost(InitialHostsRetry);
+  });
+}
+
+void EdgeDaemon::State::findLostStates(const RecordBatch &Snapshot) {
+  std::map<std::string, RolloutState> Stored;
+  for (const StoreRecord &Record : Snapshot.Records) {
+    auto Decoded = Record.Value
+                       ? this->Platform.Codec.DecodeRolloutState(*Record.Value)
+                       : absl::NotFoundError("deleted");
+    if (Decoded.ok())
+      Stored[Record.Key] = Decoded->second;
+  }
+  for (const ServiceId &Service : this->Rollouts->services()) {
+    std::string Key = this->Platform.Codec.RolloutKey(Service);
+    auto Found = Stored.find(Key);
+    if (Found != Stored.end()) {
+      this->Rollouts->compareWithStore(Service, Found->second);
+      continue;
+    }
+    this->Cache.drop(StoreTopic::RolloutStates, Key);
+    this->Rollouts->compareWithStore(Service, std::nullopt);
+  }
+}
+
+void EdgeDaemon::State::applyBatch(StoreTopic Topic, const RecordBatch &Batch,
+                                   bool RecentlyRecovered) {
+  this->noteEra(Batch.Era);
+  // A page that the store returned before a peer reported a later era.
+  if (Batch.Era < *this->LatestEra)
     return;
+  this->Cache.enterEra(Topic, Batch.Era);
+  switch (Topic) {
+  case StoreTopic::Operators:
+    this->applyOperatorRecords(Batch.Records, Batch.Next);
+    break;
+  case StoreTopic::RolloutStates:
+    this->applyRolloutStates(Batch.Records, Batch.Next);
+    if (Batch.IsSnapshot)
+      this->findLostStates(Batch);
+    break;
+  case StoreTopic::Replicas:
+    this->applyReplicaRecords(Batch, RecentlyRecovered);
+    break;
+  case StoreTopic::Hosts:
+    this->applyHostRecords(Batch.Records);
+    break;
+  }
   this->Cache.advance(Topic, Batch.Next, Batch.IsSnapshot);
-  Follower.skipTo(Batch.Next);
 }
 
 void EdgeDaemon::State::applyPeerRecords(const PeerRecords &Records) {
-  this->applyOperatorRecords(Records.Operators.Records, Records.Operators.Next);
-  this->advance(StoreTopic::Operators, *this->Operators, Records.Operators);
-  this->applyRolloutStates(Records.States.Records, Records.States.Next);
-  this->advance(StoreTopic::RolloutStates, *this->States, Records.States);
-  // Records of a peer that has read less than this host would restore older
-  // entries.
-  if (Records.Replicas.Next < this->Replicas->next())
-    return;
-  this->applyReplicaRecords(Records.Replicas, Records.StoreRecentlyRecovered);
-  this->advance(StoreTopic::Replicas, *this->Replicas, Records.Replicas);
-  this->PeerEntriesAsOf = this->Timer.now() + -Records.Age;
+  auto Apply = [&](StoreTopic Topic, const RecordBatch &Batch) {
+    StoreFollower &Follower = this->follower(Topic);
+    // Records of a peer that has read less than this host would restore older
+    // ones.
+    if (Batch.Next == NoOffset || Batch.position() < Follower.position())
+      return false;
+    this->applyBatch(Topic, Batch, Records.StoreRecentlyRecovered);
+    Follower.skipTo(Batch.position());
+    return true;
+  };
+  Apply(StoreTopic::Operators, Records.Operators);
+  Apply(StoreTopic::RolloutStates, Records.States);
+  if (Apply(StoreTopic::Replicas, Records.Replicas))
+    this->PeerEntriesAsOf = this->Timer.now() + -Records.Age;
 }
 
 } // namespace berylramp
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -26,11 +26,13 @@
 /// store recovered, and the other topics are read then.
 constexpr absl::Duration MaxTableBackoff = absl::Seconds(5);
 
-/// First and maximum delay between calls to the store about host addresses. A
-/// datagram of a live seed arrives within the first delay.
-constexpr absl::Duration InitialHostsRetry = absl::Milliseconds(1500);
+/// Maximum delay between calls to the store about host addresses.
 constexpr absl::Duration MaxHostsRetry = absl::Seconds(12);
 
+RecordBatch batchOf(const StorePage &Page, bool IsSnapshot) {
+  return {Page.Era, Page.Next, IsSnapshot, Page.Records};
+}
+
 } // namespace
 
 ExchangeSettings EdgeDaemon::State::exchangeSettings() const {
@@ -98,7 +100,7 @@
   Ports.WriteState = [this](const RolloutOrder &Order, RolloutState State,
                             AppendCallback Done) {
     // Before the recorded states are read, a write could replace an end state.
-    if (this->States->next() == NoOffset) {
+    if (this->States->position().Next == NoOffset) {
       Done(absl::FailedPreconditionError(
           "the recorded roll-out states have not been read yet; the write is "
           "retried"));
@@ -107,7 +109,7 @@
     this->Platform.Store.Append(
         StoreTopic::RolloutStates,
         this->Platform.Codec.EncodeRolloutState(Order, State),
-        this->States->next(), std::move(Done));
+        this->States->position(), std::move(Done));
   };
   Ports.NotifyPeers = [this] {
     this->Peers.self().Rollouts = this->Rollouts->reports();
@@ -204,28 +206,27 @@
       {StoreTopic::Operators, "operators", this->Settings.OperatorPollTimeout,
        absl::ZeroDuration(), MaxTableBackoff},
       [this](const StorePage &Page, bool IsSnapshot) {
-        this->applyOperatorRecords(Page.Records, Page.Next);
-        this->Cache.advance(StoreTopic::Operators, Page.Next, IsSnapshot);
+        this->applyBatch(StoreTopic::Operators, batchOf(Page, IsSnapshot),
+                         false);
         this->pauseAfterFirstRead(this->Operators, IsSnapshot);
       });
-  this->States = StartFollower(
-      {StoreTopic::RolloutStates, "rollout_states",
-       this->Settings.RolloutStatePollTimeout, absl::ZeroDuration(),
-       MaxTableBackoff},
-      [this](const StorePage &Page, bool IsSnapshot) {
-        this->applyRolloutStates(Page.Records, Page.Next);
-        this->Cache.advance(StoreTopic::RolloutStates, Page.Next, IsSnapshot);
-        this->pauseAfterFirstRead(this->States, IsSnapshot);
-      });
+  this->States =
+      StartFollower({StoreTopic::RolloutStates, "rollout_states",
+                     this->Settings.RolloutStatePollTimeout,
+                     absl::ZeroDuration(), MaxTableBackoff},
+                    [this](const StorePage &Page, bool IsSnapshot) {
+                      this->applyBatch(StoreTopic::RolloutStates,
+                                       batchOf(Page, IsSnapshot), false);
+                      this->pauseAfterFirstRead(this->States, IsSnapshot);
+                    });
   absl::Duration Period =
       std::max(this->Settings.ReplicaReadInterval,
                this->Config.Bounds.DrainTimeout * ReadIntervalFraction);
   this->Replicas = StartFollower(
       {StoreTopic::Replicas, "replicas", absl::ZeroDuration(), Period},
       [this](const StorePage &Page, bool IsSnapshot) {
-        this->applyReplicaRecords({Page.Next, IsSnapshot, Page.Records},
-                                  this->storeRecentlyRecovered());
-        this->Cache.advance(StoreTopic::Replicas, Page.Next, IsSnapshot);
+        this->applyBatch(StoreTopic::Replicas, batchOf(Page, IsSnapshot),
+                         this->storeRecentlyRecovered());
         this->Operators->retryNow();
         this->States->retryNow();
       });
@@ -237,7 +238,7 @@
   StoreRecord Record{this->Config.Name.text(), this->Config.Ip};
   auto Weak = this->weak_from_this();
   this->Platform.Store.Append(
-      StoreTopic::Hosts, Record, NoOffset,
+      StoreTopic::Hosts, Record, StorePosition(),
       [Weak, Retry](const absl::Status &Status) {
         auto Self = Weak.lock();
         if (!Self)
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -17,6 +17,9 @@
 /// Interval of the daemon's periodic work.
 inline constexpr absl::Duration TickInterval = absl::Milliseconds(250);
 inline constexpr absl::Duration SweepInterval = absl::Seconds(1);
+/// First delay between calls to the store about host addresses. A datagram of a
+/// live seed arrives within it.
+inline constexpr absl::Duration InitialHostsRetry = absl::Milliseconds(1500);
 /// Fractions of the operators' retry bounds that the hosts use. The rest is a
 /// margin, because the operators count retries in other time windows.
 inline constexpr double RetryRatioFraction = 0.75;
@@ -78,9 +81,15 @@
   void applyTable(const StoreRecord &Record, Offset ReadTo);
   void applyRolloutStates(const std::vector<StoreRecord> &Records,
                           Offset ReadTo);
+  /// Finds the recorded states that a snapshot of the topic lacks.
+  void findLostStates(const RecordBatch &Snapshot);
+  /// Applies a batch that the store or a peer returned.
+  void applyBatch(StoreTopic Topic, const RecordBatch &Batch,
+                  bool RecentlyRecovered);
+  /// Writes this host's record again when the store entered a later era.
+  void noteEra(StoreEra Era);
+  StoreFollower &follower(StoreTopic Topic) const;
   void applyReplicaRecords(const RecordBatch &Batch, bool RecentlyRecovered);
-  void advance(StoreTopic Topic, StoreFollower &Follower,
-               const RecordBatch &Batch);
   bool storeRecentlyRecovered() const;
   void applyPeerRecords(const PeerRecords &Records);
   void applyReplicaRecord(const StoreRecord &Record, Offset ReadTo,
@@ -121,6 +130,8 @@
   RouteTablePtr Table;
   RecordCache Cache;
   std::set<std::string> SkippedKeys;
+  /// The latest era of the store that a page or a peer stated.
+  std::optional<StoreEra> LatestEra;
   Instant NewerTableSince;
   Instant DirectReadUntil;
   Instant DirectReadSince;
--- a/src/edge/record_cache.cpp
+++ b/src/edge/record_cache.cpp
@@ -1,7 +1,7 @@
 //===- record_cache.cpp - Cache of store records for peers ----------------===//
 //
-// An offset of the store identifies the same position in a topic at every host.
-// A host can therefore continue at any peer from the offset that it reached at
+// A position of the store, an era and an offset, is the same at every host. A
+// host can therefore continue at any peer from the position that it reached at
 // another peer or at the store.
 //
 //===----------------------------------------------------------------------===//
@@ -44,6 +44,7 @@
 Json::Value encodeBatch(const RecordBatch &Batch) {
   Json::Value Object(Json::objectValue);
   Object["next"] = Json::Int64(Batch.Next.count());
+  Object["era"] = Json::Int64(Batch.Era.count());
   if (Batch.IsSnapshot)
     Object["whole"] = true;
   if (!Batch.Records.empty())
@@ -56,34 +57,48 @@
   if (!memberAt(Value, "next").isIntegral())
     return Batch;
   Batch.Next = Offset(intAt(Value, "next"));
+  Batch.Era = StoreEra(intAt(Value, "era"));
   Batch.IsSnapshot = boolAt(Value, "whole", false);
   Batch.Records = decodeRecords(arrayAt(Value, "records"));
   return Batch;
 }
 
-Offset offsetParameter(const std::string &Target, const std::string &Name) {
+int64_t numberParameter(const std::string &Target, const std::string &Name,
+                        int64_t Fallback) {
   size_t Position = Target.find(Name + "=");
   if (Position == std::string::npos)
-    return NoOffset;
+    return Fallback;
   size_t Start = Position + Name.size() + 1;
   int64_t Value = 0;
   std::string Digits = Target.substr(Start, Target.find('&', Start) - Start);
   bool Valid = absl::SimpleAtoi(Digits, &Value) && Value >= 0;
-  return Valid ? Offset(Value) : NoOffset;
+  return Valid ? Value : Fallback;
+}
+
+StorePosition positionParameter(const std::string &Target,
+                                const std::string &Name) {
+  return {StoreEra(numberParameter(Target, Name + "_era", 0)),
+          Offset(numberParameter(Target, Name, NoOffset.count()))};
+}
+
+std::string encodePosition(const char *Name, StorePosition Position) {
+  return absl::StrCat(Name, "=", Position.Next.count(), "&", Name,
+                      "_era=", Position.Era.count());
 }
 
 } // namespace
 
 std::string encodePeerQuery(const PeerQuery &Query) {
-  return absl::StrCat(PeerRecordsPath, "?operators=", Query.Operators.count(),
-                      "&states=", Query.States.count(),
-                      "&replicas=", Query.Replicas.count());
+  return absl::StrCat(PeerRecordsPath, "?",
+                      encodePosition("operators", Query.Operators), "&",
+                      encodePosition("states", Query.States), "&",
+                      encodePosition("replicas", Query.Replicas));
 }
 
 PeerQuery decodePeerQuery(const std::string &Target) {
-  return {offsetParameter(Target, "operators"),
-          offsetParameter(Target, "states"),
-          offsetParameter(Target, "replicas")};
+  return {positionParameter(Target, "operators"),
+          positionParameter(Target, "states"),
+          positionParameter(Target, "replicas")};
 }
 
 std::string encodePeerRecords(const PeerRecords &Records) {
@@ -114,6 +129,21 @@
   return Records;
 }
 
+void RecordCache::enterEra(StoreTopic Topic, StoreEra Era) {
+  TopicRows &Rows = this->Topics[Topic];
+  if (Rows.Era == Era)
+    return;
+  Rows.Era = Era;
+  Rows.CompleteFrom = NoOffset;
+  Rows.Next = NoOffset;
+  for (auto &[Key, Entry] : Rows.Rows)
+    Entry.Before = NoOffset;
+}
+
+void RecordCache::drop(StoreTopic Topic, const std::string &Key) {
+  this->Topics[Topic].Rows.erase(Key);
+}
+
 void RecordCache::put(StoreTopic Topic, const StoreRecord &Record,
                       Offset ReadTo) {
   auto [Found, New] = this->Topics[Topic].Rows.try_emplace(Record.Key);
@@ -133,16 +163,17 @@
   Rows.Next = std::max(Rows.Next, Next);
 }
 
-RecordBatch RecordCache::since(StoreTopic Topic, Offset From) const {
+RecordBatch RecordCache::since(StoreTopic Topic, StorePosition From) const {
   RecordBatch Batch;
   auto Found = this->Topics.find(Topic);
   if (Found == this->Topics.end() || Found->second.CompleteFrom == NoOffset)
     return Batch;
   const TopicRows &Rows = Found->second;
   Batch.Next = Rows.Next;
-  Batch.IsSnapshot = From < Rows.CompleteFrom;
+  Batch.Era = Rows.Era;
+  Batch.IsSnapshot = From.Era != Rows.Era || From.Next < Rows.CompleteFrom;
   for (const auto &[Key, Entry] : Rows.Rows)
-    if (Batch.IsSnapshot ? Entry.Text.has_value() : Entry.Before > From)
+    if (Batch.IsSnapshot ? Entry.Text.has_value() : Entry.Before > From.Next)
       Batch.Records.push_back({Key, Entry.Text});
   return Batch;
 }
--- a/src/edge/record_cache.h
+++ b/src/edge/record_cache.h
@@ -14,19 +14,24 @@
 
 /// Records of one topic that a host transfers to a peer.
 struct RecordBatch {
+  /// The era of the offset.
+  StoreEra Era;
   /// Offset of the sender's next read; NoOffset before its first read.
   Offset Next = NoOffset;
   /// True: the records are all existing keys. False: the records are the keys
   /// that changed since the requested offset.
   bool IsSnapshot = false;
   std::vector<StoreRecord> Records;
+
+  StorePosition position() const { return {this->Era, this->Next}; }
 };
 
-/// A host's request for records: the offset that it has reached in each topic.
+/// A host's request for records: the position that it has reached in each
+/// topic.
 struct PeerQuery {
-  Offset Operators = NoOffset;
-  Offset States = NoOffset;
-  Offset Replicas = NoOffset;
+  StorePosition Operators;
+  StorePosition States;
+  StorePosition Replicas;
 };
 
 /// Records of all topics that a host transfers to a peer.
@@ -51,6 +56,11 @@
 
 class RecordCache {
 public:
+  /// Begins to cache records of \p Era. The values cached so far stay, but as
+  /// records of no offset; until the next snapshot, peers receive nothing.
+  void enterEra(StoreTopic Topic, StoreEra Era);
+  /// Drops a record that the store no longer has.
+  void drop(StoreTopic Topic, const std::string &Key);
   /// Stores a record that lies before \p ReadTo. A value equal to the cached
   /// one changes nothing.
   void put(StoreTopic Topic, const StoreRecord &Record, Offset ReadTo);
@@ -59,7 +69,7 @@
   void advance(StoreTopic Topic, Offset Next, bool IsSnapshot);
   /// The keys that changed after \p From, or a snapshot when the cache does not
   /// cover the changes since then.
-  RecordBatch since(StoreTopic Topic, Offset From) const;
+  RecordBatch since(StoreTopic Topic, StorePosition From) const;
   const std::string *find(StoreTopic Topic, const std::string &Key) const;
 
 private:
@@ -70,6 +80,7 @@
     Offset Before = NoOffset;
   };
   struct TopicRows {
+    StoreEra Era;
     std::map<std::string, Row> Rows;
     /// The cache has all changes after this offset; NoOffset before the first
     /// read.
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -54,6 +54,17 @@
   logEvent(LogLevel::Info, "rollout_ordered", logFieldsOf(Order));
 }
 
+void RolloutController::compareWithStore(const ServiceId &Service,
+                                         std::optional<RolloutState> Stored) {
+  auto Found = this->Entries.find(Service);
+  if (Found == this->Entries.end() || !Found->second.Recorded)
+    return;
+  bool IsEarlier = Stored == RolloutState::InProgress &&
+                   Found->second.State != RolloutState::InProgress;
+  if (!Stored || IsEarlier)
+    Found->second.NeedsRewrite = true;
+}
+
 void RolloutController::onStateRecorded(const ServiceId &Service,
                                         const VersionId &Target,
                                         RolloutState State) {
@@ -62,6 +73,8 @@
     return;
   Entry &Rollout = Found->second;
   bool Finished = Rollout.Recorded && Rollout.State != RolloutState::InProgress;
+  if (Rollout.State == State)
+    Rollout.NeedsRewrite = false;
   if (Finished || (Rollout.Recorded && Rollout.State == State))
     return;
   Rollout.Recorded = true;
@@ -118,9 +131,12 @@
 }
 
 void RolloutController::tick(const PeerTable &Peers) {
-  for (auto &[Service, Rollout] : this->Entries)
+  for (auto &[Service, Rollout] : this->Entries) {
     if (Rollout.State == RolloutState::InProgress)
       this->advance(Rollout, Peers);
+    else if (Rollout.NeedsRewrite)
+      this->requestState(Rollout, Rollout.State);
+  }
 }
 
 void RolloutController::advance(Entry &Rollout, const PeerTable &Peers) {
@@ -165,7 +181,7 @@
 
 void RolloutController::requestState(Entry &Rollout, RolloutState State) {
   Instant Now = this->Callbacks.Now();
-  if (Rollout.Recorded && Rollout.State == State)
+  if (Rollout.Recorded && Rollout.State == State && !Rollout.NeedsRewrite)
     return;
   if (Rollout.PendingState != State) {
     Rollout.PendingState = State;
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -35,6 +35,10 @@
       : Bounds(Bounds), Callbacks(std::move(Callbacks)) {}
 
   void onOrder(const RolloutOrder &Order);
+  /// Compares the recorded state with the one in a snapshot of the store. A
+  /// state that the store lost is written again.
+  void compareWithStore(const ServiceId &Service,
+                        std::optional<RolloutState> Stored);
   void onStateRecorded(const ServiceId &Service, const VersionId &Target,
                        RolloutState State);
   void recordOutcome(const ServiceId &Service, const VersionId &Version,
@@ -56,6 +60,8 @@
     AnswerTally Others;
     bool Tripped = false;
     bool Recorded = false;
+    /// The store lost the recorded state.
+    bool NeedsRewrite = false;
     RolloutState State = RolloutState::InProgress;
     double CanaryShare = 0;
     double LoggedShare = 0;
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-void StoreFollower::skipTo(Offset From) {
+void StoreFollower::skipTo(StorePosition From) {
   bool Reading = this->Active && !this->Delaying;
-  if (!Reading && From > this->Next)
-    this->Next = From;
+  if (!Reading && this->Position < From)
+    this->Position = From;
 }
 
 void StoreFollower::resume() {
@@ -37,7 +37,7 @@
   this->Paused = false;
   if (this->Active)
     return;
-  if (this->Next == NoOffset)
+  if (this->Position.Next == NoOffset)
     this->readNewest();
   else
     this->readNext();
@@ -58,7 +58,7 @@
   this->Active = true;
   this->Counters.count(Counter::LogReads);
   this->Store.Read(
-      this->Config.Topic, this->Next, this->Config.PollTimeout,
+      this->Config.Topic, this->Position.Next, this->Config.PollTimeout,
       [Weak = this->weak_from_this()](const absl::StatusOr<StorePage> &Page) {
         if (auto Self = Weak.lock())
           Self->onPage(Page, false);
@@ -73,20 +73,8 @@
     this->readNewest();
     return;
   }
-  Json::Value Line(Json::objectValue);
-  Line["topic"] = this->Config.Name;
   if (!Page.ok()) {
-    this->Counters.count(Counter::LogReadFailures);
-    if (this->Reachable) {
-      Line["error"] = std::string(Page.status().message());
-      logEvent(LogLevel::Warn, "store_lost", Line);
-    }
-    this->Reachable = false;
-    this->Backoff =
-        std::clamp(this->Backoff * 2, InitialBackoff, this->Config.MaxBackoff);
-    if (absl::IsResourceExhausted(Page.status()))
-      this->Backoff = std::max(this->Backoff, RateLimitBackoff);
-    this->scheduleRead(this->Backoff * jitter());
+    this->onFailure(Page.status());
     return;
   }
   this->LastSuccess = this->Timer.now();
@@ -94,15 +82,59 @@
   if (!this->Reachable) {
     this->RecoveredAt = this->LastSuccess;
     this->Reachable = true;
+    Json::Value Line(Json::objectValue);
+    Line["topic"] = this->Config.Name;
     logEvent(LogLevel::Info, "store_regained", Line);
   }
-  this->Next = Page->Next;
+  if (!this->acceptEra(*Page, IsSnapshot))
+    return;
+  this->Position = Page->position();
   this->OnRecords(*Page, IsSnapshot);
   bool LongPolls = this->Config.PollTimeout > absl::ZeroDuration();
   this->scheduleRead(LongPolls ? MinReadInterval
                                : this->Config.ReadInterval * jitter());
 }
 
+bool StoreFollower::acceptEra(const StorePage &Page, bool IsSnapshot) {
+  bool IsFirst = this->Position.Next == NoOffset;
+  StoreEra Known = this->Position.Era;
+  if (Page.Era == Known || (IsFirst && Page.Era > Known))
+    return true;
+  Json::Value Line(Json::objectValue);
+  Line["topic"] = this->Config.Name;
+  Line["era"] = Json::Int64(Page.Era.count());
+  Line["known_era"] = Json::Int64(Known.count());
+  logEvent(LogLevel::Warn, "store_era_changed", Line);
+  if (Page.Era < Known) {
+    // A peer knows a later era, so the answer is from before the change.
+    this->Position.Next = NoOffset;
+    this->scheduleRead(InitialBackoff * jitter());
+    return false;
+  }
+  this->RecoveredAt = this->Timer.now();
+  if (IsSnapshot)
+    return true;
+  this->Position = {Page.Era, NoOffset};
+  this->readNewest();
+  return false;
+}
+
+void StoreFollower::onFailure(const absl::Status &Failure) {
+  this->Counters.count(Counter::LogReadFailures);
+  if (this->Reachable) {
+    Json::Value Line(Json::objectValue);
+    Line["topic"] = this->Config.Name;
+    Line["error"] = std::string(Failure.message());
+    logEvent(LogLevel::Warn, "store_lost", Line);
+  }
+  this->Reachable = false;
+  this->Backoff =
+      std::clamp(this->Backoff * 2, InitialBackoff, this->Config.MaxBackoff);
+  if (absl::IsResourceExhausted(Failure))
+    this->Backoff = std::max(this->Backoff, RateLimitBackoff);
+  this->scheduleRead(this->Backoff * jitter());
+}
+
 void StoreFollower::scheduleRead(absl::Duration Delay) {
   this->Delaying = true;
   this->DelayGeneration += 1;
@@ -119,7 +151,7 @@
   this->Active = false;
   if (this->Stopped || this->Paused)
     return;
-  if (this->Next == NoOffset)
+  if (this->Position.Next == NoOffset)
     this->readNewest();
   else
     this->readNext();
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -42,18 +42,19 @@
   void resume();
   /// Reads at once if the last read failed and the next one is delayed.
   void retryNow();
-  /// Continues at \p From if that is after the next offset and no read is in
+  /// Continues at \p From if that is after the position and no read is in
   /// progress. Used when a peer supplied the records before \p From.
-  void skipTo(Offset From);
+  void skipTo(StorePosition From);
   bool paused() const { return this->Paused; }
-  /// Offset of the next read; NoOffset before the first read.
-  Offset next() const { return this->Next; }
+  /// Position of the next read.
+  StorePosition position() const { return this->Position; }
   /// Whether the last read succeeded; true before the first one.
   bool reachable() const { return this->Reachable; }
   /// When the last successful read was answered; the time of construction
   /// before the first one.
   Instant lastSuccess() const { return this->LastSuccess; }
-  /// When reads last succeeded again after a failure.
+  /// When reads last succeeded again after a failure, or when the store was
+  /// found to have returned from an older copy.
   Instant recoveredAt() const { return this->RecoveredAt; }
 
 private:
@@ -61,6 +62,10 @@
   void readNext();
   void onPage(const absl::StatusOr<StorePage> &Page, bool IsSnapshot);
   void onDelayElapsed();
+  /// Whether \p Page continues the records read so far. Otherwise the follower
+  /// reads the newest records of the era of \p Page.
+  bool acceptEra(const StorePage &Page, bool IsSnapshot);
+  void onFailure(const absl::Status &Failure);
   void scheduleRead(absl::Duration Delay);
 
   const StorePort &Store;
@@ -68,7 +73,7 @@
   Metrics &Counters;
   FollowerConfig Config;
   RecordsCallback OnRecords;
-  Offset Next = NoOffset;
+  StorePosition Position;
   Instant LastSuccess;
   Instant RecoveredAt{-absl::InfiniteDuration()};
   absl::Duration Backoff;
--- a/src/exchange/http_client.cpp
+++ b/src/exchange/http_client.cpp
@@ -137,7 +137,9 @@
 
   void complete(bool KeepConnection) {
     CallAnswer Answer;
-    Answer.Status = this->Parser->head().Status;
+    HttpHead Head = this->Parser->head();
+    Answer.Status = Head.Status;
+    Answer.Headers = std::move(Head.Headers);
     Answer.Body = this->Parser->takeBody();
     if (!KeepConnection)
       this->Transport->close();
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -36,6 +36,10 @@
   return hostsFor(Query, Hosts);
 }
 
+StorePosition at(int64_t Next, int64_t Era = 0) {
+  return {StoreEra(Era), Offset(Next)};
+}
+
 } // namespace
 
 TEST_CASE("The directory lists the hosts of the caller's data centre") {
@@ -122,25 +126,25 @@
   Cache.put(Topic, {"s", "up"}, Offset(14));
   Cache.put(Topic, {"r", std::nullopt}, Offset(17));
   Cache.advance(Topic, Offset(17), false);
-  RecordBatch Changes = Cache.since(Topic, Offset(14));
+  RecordBatch Changes = Cache.since(Topic, at(14));
   CHECK_FALSE(Changes.IsSnapshot);
   CHECK(Changes.Next == Offset(17));
   REQUIRE(Changes.Records.size() == 1);
   CHECK_FALSE(Changes.Records[0].Value.has_value());
-  CHECK(Cache.since(Topic, Offset(12)).Records.size() == 2);
-  CHECK(Cache.since(Topic, Offset(17)).Records.empty());
+  CHECK(Cache.since(Topic, at(12)).Records.size() == 2);
+  CHECK(Cache.since(Topic, at(17)).Records.empty());
 }
 
 TEST_CASE("A peer whose offset precedes the cache gets all keys") {
   RecordCache Cache;
   StoreTopic Topic = StoreTopic::Replicas;
-  CHECK(Cache.since(Topic, NoOffset).Next == NoOffset);
+  CHECK(Cache.since(Topic, {}).Next == NoOffset);
   Cache.put(Topic, {"r", "up"}, Offset(10));
   Cache.advance(Topic, Offset(10), true);
   Cache.put(Topic, {"s", std::nullopt}, Offset(12));
   Cache.advance(Topic, Offset(12), false);
-  Offset From(GENERATE(-1, 9));
-  CAPTURE(From.count());
+  StorePosition From = at(GENERATE(-1, 9));
+  CAPTURE(From.Next.count());
   RecordBatch Snapshot = Cache.since(Topic, From);
   CHECK(Snapshot.IsSnapshot);
   CHECK(Snapshot.Next == Offset(12));
@@ -148,6 +152,38 @@
   CHECK(Snapshot.Records[0].Key == "r");
 }
 
+TEST_CASE("Positions of a later era come after all of an earlier one") {
+  CHECK(at(90, 1) < at(2, 2));
+  CHECK_FALSE(at(2, 2) < at(90, 1));
+  CHECK(at(2, 2) < at(3, 2));
+  CHECK(at(5, 2) < StorePosition{StoreEra(3), NoOffset});
+}
+
+TEST_CASE("Offsets of an earlier era are not compared with the present ones") {
+  RecordCache Cache;
+  StoreTopic Topic = StoreTopic::Replicas;
+  Cache.enterEra(Topic, StoreEra(1));
+  Cache.put(Topic, {"kept", "up"}, Offset(40));
+  Cache.put(Topic, {"gone", "up"}, Offset(41));
+  Cache.advance(Topic, Offset(41), true);
+  Cache.enterEra(Topic, StoreEra(2));
+  CHECK(Cache.since(Topic, at(41, 1)).Next == NoOffset);
+  Cache.put(Topic, {"kept", "up"}, Offset(30));
+  Cache.put(Topic, {"gone", std::nullopt}, Offset(30));
+  Cache.advance(Topic, Offset(30), true);
+  Cache.put(Topic, {"new", "up"}, Offset(35));
+  Cache.advance(Topic, Offset(35), false);
+  // Offset 33 exists in both eras.
+  RecordBatch Earlier = Cache.since(Topic, at(33, 1));
+  CHECK(Earlier.IsSnapshot);
+  CHECK(Earlier.position() == at(35, 2));
+  CHECK(Earlier.Records.size() == 2);
+  RecordBatch Present = Cache.since(Topic, at(33, 2));
+  CHECK_FALSE(Present.IsSnapshot);
+  REQUIRE(Present.Records.size() == 1);
+  CHECK(Present.Records[0].Key == "new");
+}
+
 TEST_CASE("A host that switches between peers gets the same keys") {
   rc::prop("for any order of changes and peers", [] {
     StoreTopic Topic = StoreTopic::Replicas;
@@ -178,7 +214,7 @@
         Caches[Index].advance(Topic, End, false);
         continue;
       }
-      RecordBatch Batch = Caches[Index].since(Topic, NextOffset);
+      RecordBatch Batch = Caches[Index].since(Topic, {StoreEra(), NextOffset});
       if (Batch.Next < NextOffset)
         continue;
       if (Batch.IsSnapshot)
@@ -204,15 +240,15 @@
 
 TEST_CASE("Peer records are decoded as encoded") {
   PeerRecords Encoded;
-  Encoded.States = {Offset(4), true, {{"k", "v"}}};
-  Encoded.Replicas = {Offset(41), false, {{"gone", std::nullopt}}};
+  Encoded.States = {StoreEra(3), Offset(4), true, {{"k", "v"}}};
+  Encoded.Replicas = {StoreEra(3), Offset(41), false, {{"gone", std::nullopt}}};
   Encoded.Age = absl::Milliseconds(70);
   auto Decoded = decodePeerRecords(encodePeerRecords(Encoded));
   REQUIRE(Decoded.ok());
   CHECK(Decoded->Operators.Next == NoOffset);
   CHECK(Decoded->States.IsSnapshot);
   CHECK(Decoded->States.Records.size() == 1);
-  CHECK(Decoded->Replicas.Next == Offset(41));
+  CHECK(Decoded->Replicas.position() == at(41, 3));
   CHECK_FALSE(Decoded->Replicas.Records[0].Value.has_value());
   CHECK(Decoded->Age == absl::Milliseconds(70));
   CHECK_FALSE(decodePeerRecords("{}").ok());
@@ -220,11 +256,12 @@
 
 TEST_CASE("A peer query is decoded as encoded") {
   PeerQuery Query =
-      decodePeerQuery(encodePeerQuery({Offset(7), NoOffset, Offset(12)}));
-  CHECK(Query.Operators == Offset(7));
-  CHECK(Query.States == NoOffset);
-  CHECK(Query.Replicas == Offset(12));
-  CHECK(decodePeerQuery("/peer/records?replicas=x").Replicas == NoOffset);
+      decodePeerQuery(encodePeerQuery({at(7, 2), at(-1), at(12, 1)}));
+  CHECK(Query.Operators == at(7, 2));
+  CHECK(Query.States == StorePosition());
+  CHECK(Query.Replicas == at(12, 1));
+  CHECK(decodePeerQuery("/peer/records?replicas=x").Replicas ==
+        StorePosition());
 }
 
 namespace {
@@ -368,6 +405,30 @@
   CHECK(this->WrittenStates.back() == RolloutState::Complete);
 }
 
+TEST_CASE_METHOD(RolloutControllerFixture,
+                 "A state that the store lost is written again once") {
+  this->Controller.onOrder(Order);
+  this->Controller.onStateRecorded(this->Service, Order.Target,
+                                   RolloutState::Complete);
+  this->tickAt(12);
+  CHECK(this->WrittenStates.empty());
+  SECTION("the store has no state") {
+    this->Controller.compareWithStore(this->Service, std::nullopt);
+  }
+  SECTION("the store has an earlier state") {
+    this->Controller.compareWithStore(this->Service, RolloutState::InProgress);
+  }
+  // The recorded end state stays in force meanwhile.
+  CHECK(this->Controller.versionFor(this->Service, 0.9).RequireTarget);
+  this->tickAt(13);
+  CHECK(this->WrittenStates ==
+        std::vector<RolloutState>{RolloutState::Complete});
+  this->Controller.onStateRecorded(this->Service, Order.Target,
+                                   RolloutState::Complete);
+  this->tickAt(14);
+  CHECK(this->WrittenStates.size() == 1);
+}
+
 TEST_CASE_METHOD(RolloutControllerFixture, "A failed write is retried") {
   this->WriteResult = absl::UnavailableError("store unavailable");
   this->Controller.onOrder(Order);
--- a/test/edge_peers_test.cpp
+++ b/test/edge_peers_test.cpp
@@ -244,6 +244,26 @@
   CHECK(this->readsStore(Second));
 }
 
+TEST_CASE_METHOD(PeersFixture, "A host follows the era that its peer reports") {
+  this->start();
+  this->waitForSingleReader();
+  for (TestHost &Host : this->Hosts)
+    Host.Store->takeCopy();
+  this->putTable(2, {"key-1", "key-2"});
+  REQUIRE(this->waitUntilServing(this->Hosts[0], "key-2"));
+  REQUIRE(this->waitUntilServing(this->Hosts[1], "key-2"));
+  TestHost &Reader = this->reader();
+  TestHost &Other = this->otherHost(Reader);
+  // Only the reader's store answers, in the later era and from lower offsets.
+  Other.Store->Behavior = StoreBehavior::Silent;
+  for (TestHost &Host : this->Hosts)
+    Host.Store->restoreCopy();
+  this->runFor(absl::Seconds(1));
+  this->putTable(3, {"key-1", "key-3"});
+  CHECK(this->waitUntilServing(Other, "key-3"));
+  CHECK(this->requestStatus(Other, "key-2") == 401);
+}
+
 TEST_CASE_METHOD(PeersFixture, "Another host reads when the reader leaves") {
   this->start();
   this->waitForSingleReader();
