Bound answers without end, slow callers and errors of handlers

Cause: a whole answer was kept up to 64 MB, on hosts of 88 MB; one event of a stream, a chunk header or a trailer without end had no bound but that; a caller that did not read was cut at 4 MB, and its relay was not told, so that its replica went on. A stream was cut after six silent seconds also where no other replica could continue it, and not at all between its header and its first event. An exception in any handler ended the process. Change: one answer may take a 64th of the host's memory, all of them a quarter, an event 256 KB, bytes without the end of a header 80 KB, a slow caller's queue 256 KB; beyond it the connection is closed and the request goes on elsewhere where it may. Silence ends an attempt only if another may continue the stream, and counts from the header on. The loop logs an exception and goes on.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -60,6 +60,8 @@
   int GossipPort = 0;
   std::vector<Endpoint> Seeds;
   Endpoint Store;
+  /// Memory that the host's process may use.
+  int64_t MemoryBytes = 128LL << 20;
   HostBounds Bounds;
 };
 
@@ -201,6 +203,8 @@
   /// closed.
   absl::Duration CloseMargin = absl::Milliseconds(700);
   CascadeSettings Cascade;
+  /// Time without an event after which a stream continues at another replica.
+  absl::Duration StreamIdleTimeout = ExchangeSettings().StreamIdleTimeout;
 };
 
 /// The daemon of one host.
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -127,6 +127,10 @@
   std::shared_ptr<State> Shared;
 };
 
+/// Runs the loop until it is stopped. An exception that a handler throws is
+/// logged and ends only that handler.
+void runLoop(boost::asio::io_context &Loop);
+
 /// An HTTP call to another service of the system or the platform.
 struct OutgoingCall {
   std::string Method = "GET";
@@ -209,6 +213,12 @@
   absl::Duration StreamIdleTimeout = absl::Milliseconds(6000);
   /// Maximum idle time after which a connection is still reused.
   absl::Duration MaxIdleTime = absl::Seconds(3);
+  /// Maximum bytes of one complete answer, and of all complete answers that are
+  /// being received. A longer answer is cut.
+  size_t MaxAnswerBytes = 2U << 20;
+  size_t MaxBufferedBytes = 32U << 20;
+  /// Maximum bytes of one event of a stream.
+  size_t MaxEventBytes = 256U << 10;
   /// Ratio of requests to slots above which new requests are refused.
   double MaxUtilization = 2.5;
   /// Retries per first attempt to a service, over all hosts, and this host's
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -17,6 +17,11 @@
 /// the cost of the datagrams.
 constexpr absl::Duration MinReportedWork = absl::Milliseconds(80);
 
+/// Fractions of the host's memory that one complete answer, and all complete
+/// answers that are being received, may take.
+constexpr double MaxAnswerFraction = 1.0 / 64;
+constexpr double MaxBufferedFraction = 1.0 / 4;
+
 /// Interval of the reads of replica entries as a fraction of the drain timeout.
 /// The rest covers the transfer to the other hosts and one failed read.
 constexpr double ReadIntervalFraction = 0.24;
@@ -43,6 +48,10 @@
   Result.RetrySlack = std::max(1.0, Bounds.RetrySlack * RetrySlackFraction /
                                         static_cast<double>(this->hostCount()));
   Result.Cascade = this->Settings.Cascade;
+  Result.StreamIdleTimeout = this->Settings.StreamIdleTimeout;
+  auto Memory = static_cast<double>(this->Config.MemoryBytes);
+  Result.MaxAnswerBytes = static_cast<size_t>(Memory * MaxAnswerFraction);
+  Result.MaxBufferedBytes = static_cast<size_t>(Memory * MaxBufferedFraction);
   return Result;
 }
 
--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -32,6 +32,11 @@
       : TargetReplica(std::move(TargetReplica)), Owner(std::move(Owner)),
         TimeoutTimer(Loop) {}
 
+  ~Attempt() override {
+    if (this->BufferedBytes != nullptr)
+      *this->BufferedBytes -= this->Body.size();
+  }
+
   void onHead(const HttpHead &AnswerHead) override {
     this->TimeoutTimer.cancel();
     if (auto LockedOwner = this->Owner.lock())
@@ -100,7 +105,10 @@
   bool IsStreaming = false;
   bool OutcomeRecorded = false;
   HttpHead Head;
+  /// The body received so far; the counter of all such bytes is lowered when
+  /// the attempt ends.
   std::string Body;
+  size_t *BufferedBytes = nullptr;
   EventSplitter Splitter;
 };
 
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -40,6 +40,8 @@
   /// By service and model.
   std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
   std::unordered_set<std::shared_ptr<Relay>> Active;
+  /// Bytes of complete answers that are being received.
+  size_t BufferedBytes = 0;
 };
 
 } // namespace berylramp
--- a/src/exchange/events.h
+++ b/src/exchange/events.h
@@ -23,6 +23,7 @@
   std::vector<StreamEvent> feed(const std::string &Chunk);
   /// True if the buffered bytes end within an event.
   bool hasPartialEvent() const { return !this->Pending.empty(); }
+  size_t pendingBytes() const { return this->Pending.size(); }
   void reset() { this->Pending.clear(); }
 
 private:
--- a/src/exchange/http_client.cpp
+++ b/src/exchange/http_client.cpp
@@ -17,6 +17,13 @@
 
 namespace berylramp {
 
+namespace {
+
+/// A page of the store has about 1 MB, a peer's records a few.
+constexpr uint64_t MaxBodyBytes = 16ULL << 20;
+
+} // namespace
+
 struct HttpClient::State : ChannelListener,
                            std::enable_shared_from_this<State> {
   State(boost::asio::io_context &Loop, TimerService &Timer, Endpoint Remote)
@@ -56,7 +63,7 @@
   }
 
   void sendRequest() {
-    this->Parser = std::make_unique<AnswerParser>(false);
+    this->Parser = std::make_unique<AnswerParser>(false, MaxBodyBytes);
     this->Buffer.clear();
     bool IsNewConnection =
         this->Transport == nullptr || !this->Transport->isOpen();
--- a/src/exchange/http_parse.cpp
+++ b/src/exchange/http_parse.cpp
@@ -18,9 +18,9 @@
 
 namespace http = boost::beast::http;
 
-/// Limits that bound memory; answers of engines and services are far smaller.
-constexpr uint64_t MaxAnswerBodyBytes = 64ULL << 20;
 constexpr uint32_t MaxAnswerHeaderBytes = 64U << 10;
+/// Bytes without the end of a header, a chunk header or a trailer.
+constexpr size_t MaxUnparsedBytes = 80U << 10;
 
 ParseFault toParseFault(const boost::system::error_code &Error) {
   if (!Error || Error == http::error::need_more)
@@ -49,6 +49,9 @@
       break;
   }
   Bytes.erase(0, Offset);
+  bool NeedsMore = Fault == ParseFault::None && !BeastParser.is_done();
+  if (NeedsMore && Bytes.size() > MaxUnparsedBytes)
+    return ParseFault::HeaderTooLong;
   return Fault;
 }
 
@@ -145,12 +148,16 @@
   http::response_parser<http::string_body> Reader;
 };
 
-AnswerParser::AnswerParser(bool WithoutBody)
+AnswerParser::AnswerParser(bool WithoutBody,
+                           std::optional<uint64_t> MaxBodyBytes)
     : Parser(std::make_unique<Impl>()) {
   this->Parser->Reader.eager(true);
   this->Parser->Reader.skip(WithoutBody);
   this->Parser->Reader.header_limit(MaxAnswerHeaderBytes);
-  this->Parser->Reader.body_limit(MaxAnswerBodyBytes);
+  if (MaxBodyBytes)
+    this->Parser->Reader.body_limit(*MaxBodyBytes);
+  else
+    this->Parser->Reader.body_limit(boost::none);
 }
 
 AnswerParser::~AnswerParser() = default;
--- a/src/exchange/http_parse.h
+++ b/src/exchange/http_parse.h
@@ -9,6 +9,7 @@
 #define BERYLRAMP_EXCHANGE_HTTP_PARSE_H
 
 #include "berylramp/exchange.h"
+#include <optional>
 
 namespace berylramp {
 
@@ -37,7 +38,9 @@
 /// Parses one answer and provides its body in chunks.
 class AnswerParser {
 public:
-  explicit AnswerParser(bool WithoutBody);
+  /// Without \p MaxBodyBytes, the length of the body is not limited.
+  explicit AnswerParser(bool WithoutBody,
+                        std::optional<uint64_t> MaxBodyBytes = std::nullopt);
   ~AnswerParser();
 
   ParseFault feed(std::string &Bytes);
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -22,9 +22,8 @@
 
 /// Bytes of pipelined requests to buffer while a request is in progress.
 constexpr size_t MaxBufferedBytes = 65536;
-/// Unsent bytes of a stream above which a slow caller is disconnected; answers
-/// are smaller.
-constexpr size_t MaxUnsentBytes = 4U << 20;
+/// Unsent bytes of a stream above which a slow caller is disconnected.
+constexpr size_t MaxUnsentBytes = 256U << 10;
 /// Connections that may wait to be accepted; sized for the burst of reconnects
 /// after another host has failed.
 constexpr int AcceptBacklog = 1024;
@@ -157,8 +156,10 @@
       return;
     this->Transport->send(
         absl::StrCat(absl::Hex(Chunk.size()), "\r\n", Chunk, "\r\n"));
-    if (this->Transport->unsentBytes() > MaxUnsentBytes)
-      this->abort();
+    if (this->Transport->unsentBytes() > MaxUnsentBytes) {
+      this->Transport->reset();
+      this->onDisconnected();
+    }
   }
 
   void endStream() override {
--- a/src/exchange/loop_timer.cpp
+++ b/src/exchange/loop_timer.cpp
@@ -1,9 +1,23 @@
 //===- loop_timer.cpp - Timer service on the event loop -------------------===//
 
 #include "berylramp/exchange.h"
+#include "berylramp/observe.h"
 
 namespace berylramp {
 
+void runLoop(boost::asio::io_context &Loop) {
+  while (true) {
+    try {
+      Loop.run();
+      return;
+    } catch (const std::exception &Error) {
+      Json::Value Line(Json::objectValue);
+      Line["error"] = Error.what();
+      logEvent(LogLevel::Error, "unexpected_error", Line);
+    }
+  }
+}
+
 namespace {
 
 std::chrono::steady_clock::time_point processStart() {
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -53,6 +53,9 @@
 
   void onAttemptRejected(Attempt &Source, Outcome Result);
 
+  void bufferAnswer(Attempt &Source, const std::string &Chunk);
+  /// Starts to wait for the next event of a stream.
+  void awaitEvent(Attempt &Source);
   void forwardEvents(Attempt &Source, const std::string &Chunk);
   void forwardAnswer(Attempt &Source);
   /// Applies what the replica states about itself in \p Head.
@@ -69,6 +72,8 @@
   void onCallerLeft();
   void finish(const char *Result, int Status, const std::string &Reason);
   void endAttempt(Outcome Result);
+  /// Gives up an answer that exceeds \p Limit bytes.
+  void rejectOversized(Attempt &Source, const char *Part, size_t Limit);
   void armDeadline();
   void recordOutcome(const Attempt &Evaluated, bool Good);
   Instant now() const { return this->Core.Timer.now(); }
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -68,6 +68,13 @@
     return;
   }
   Source.IsStreaming = Success && this->MatchedRoute->EventStream;
+  this->awaitEvent(Source);
+}
+
+// A replica's silence ends an attempt only if another one may continue it.
+void Relay::awaitEvent(Attempt &Source) {
+  if (Source.IsStreaming && this->mayRetry())
+    Source.startTimeout(this->Core.Settings.StreamIdleTimeout);
 }
 
 void Relay::noteReplicaState(const Attempt &Source, const HttpHead &Head) {
@@ -129,7 +136,33 @@
   if (Source.IsStreaming)
     this->forwardEvents(Source, Chunk);
   else
-    Source.Body += Chunk;
+    this->bufferAnswer(Source, Chunk);
+}
+
+void Relay::bufferAnswer(Attempt &Source, const std::string &Chunk) {
+  const ExchangeSettings &Settings = this->Core.Settings;
+  if (Source.Body.size() + Chunk.size() > Settings.MaxAnswerBytes) {
+    this->rejectOversized(Source, "answer", Settings.MaxAnswerBytes);
+    return;
+  }
+  if (this->Core.BufferedBytes + Chunk.size() > Settings.MaxBufferedBytes) {
+    this->rejectOversized(Source, "all answers", Settings.MaxBufferedBytes);
+    return;
+  }
+  Source.Body += Chunk;
+  Source.BufferedBytes = &this->Core.BufferedBytes;
+  this->Core.BufferedBytes += Chunk.size();
+}
+
+void Relay::rejectOversized(Attempt &Source, const char *Part, size_t Limit) {
+  Json::Value Line(Json::objectValue);
+  Line["request"] = this->RequestId;
+  Line["replica"] = Source.TargetReplica->Entry.Id.text();
+  Line["part"] = Part;
+  Line["limit_bytes"] = Json::UInt64(Limit);
+  logEvent(LogLevel::Warn, "answer_too_long", Line);
+  this->onAttemptFailed(Source, RetryReason::CutMidStream,
+                        Outcome::ConnectionFailed, true);
 }
 
 void Relay::forwardEvents(Attempt &Source, const std::string &Chunk) {
@@ -146,7 +179,11 @@
     if (Verdict == EventSequence::Verdict::Next)
       EventBytes += Event.Bytes;
   }
-  if (EventBytes.empty())
+  const ExchangeSettings &Settings = this->Core.Settings;
+  if (this->Current == AttemptGuard &&
+      Source.Splitter.pendingBytes() > Settings.MaxEventBytes)
+    this->rejectOversized(Source, "event", Settings.MaxEventBytes);
+  if (EventBytes.empty() || this->Finished)
     return;
   if (this->StreamStarted)
     this->MaxEventGap =
@@ -162,7 +199,7 @@
   }
   this->CallerResponder->sendChunk(std::move(EventBytes));
   if (this->Current == AttemptGuard)
-    Source.startTimeout(this->Core.Settings.StreamIdleTimeout);
+    this->awaitEvent(Source);
 }
 
 void Relay::onAttemptEnd(Attempt &Source) {
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -1,6 +1,7 @@
 //===- upstream_connection.h - Connections to replicas ----------*- C++ -*-===//
 //
-// A connection carries one request at a time. It is reused only after a
+// The receiver of an answer limits the length of its body. A connection carries
+// one request at a time. It is reused only after a
 // complete keep-alive answer that was not followed by further bytes.
 //
 //===----------------------------------------------------------------------===//
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -141,7 +141,7 @@
         this->reload("the settings file changed");
     });
     this->awaitSignal();
-    this->Loop.run();
+    runLoop(this->Loop);
     logEvent(LogLevel::Info, "stopped");
     return 0;
   }
