Let a planned stop end after the last answer was sent, and doubt crossed refusals

Cause: a stopping host closed its callers' connections once no request was in progress, also where an answer was not yet sent completely or a request was half read: those callers were cut. A refusal with the id of another request was believed before its id was compared, so that a request that had run could be refused as not run. Change: the stop waits for busy connections too, up to the end of the grace time. Tests: 'A connection is busy until its caller has the whole answer', 'A refusal of another request does not prove that this one did not run'.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -119,6 +119,9 @@
   /// Closes the listening socket and all connections.
   void close();
   size_t connections() const;
+  /// Connections with a request that was begun and whose answer is not sent
+  /// completely.
+  size_t busyConnections() const;
   /// The bound port; the one that the kernel assigned if port 0 was requested.
   int port() const;
 
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -110,7 +110,9 @@
   Self->Timer.schedulePeriodic(TickInterval, [Self] {
     bool RefusesNew =
         Self->Timer.now() - Self->LeavingSince > Self->Settings.RefuseNewDelay;
-    if (RefusesNew && Self->Relayer->activeRequests() == 0)
+    // An answer that its caller has not read completely is still sent.
+    if (RefusesNew && Self->Relayer->activeRequests() == 0 &&
+        Self->CallerListener->busyConnections() == 0)
       Self->finishStop();
   });
 }
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -108,6 +108,13 @@
     this->onDisconnected();
   }
 
+  bool isBusy() const {
+    bool HasRequest = this->RequestActive ||
+                      (this->Parser != nullptr && this->Parser->hasStarted());
+    return HasRequest || this->Transport->unsentBytes() > 0 ||
+           this->Transport->hasUnread();
+  }
+
   void onBytes(absl::string_view Bytes) override {
     this->Buffer.append(Bytes.data(), Bytes.size());
     if (this->RequestActive) {
@@ -397,6 +404,14 @@
   return this->Shared->Connections.size();
 }
 
+size_t HttpListener::busyConnections() const {
+  size_t Count = 0;
+  for (const auto &Connection : this->Shared->Connections)
+    Count +=
+        static_cast<const CallerConnection &>(*Connection).isBusy() ? 1 : 0;
+  return Count;
+}
+
 int HttpListener::port() const {
   boost::system::error_code Ignored;
   return this->Shared->Acceptor.local_endpoint(Ignored).port();
--- a/test/edge_flood_test.cpp
+++ b/test/edge_flood_test.cpp
@@ -179,6 +179,37 @@
   CHECK(Listener.connections() == 0);
 }
 
+TEST_CASE("A connection is busy until its caller has the whole answer") {
+  boost::asio::io_context Loop;
+  LoopTimer Timer(Loop);
+  constexpr size_t AnswerBytes = 32U << 20;
+  HttpListener Listener(
+      Loop, Timer, [] { return CallerLimits(); },
+      [&](const CallerRequest &, const ResponderPtr &Responder) {
+        HttpHead Head;
+        Head.Status = 200;
+        Responder->sendWhole(Head, std::string(AnswerBytes, 'x'), false);
+      });
+  REQUIRE(Listener.listen({"127.0.0.1", 0}).ok());
+  RawCaller Caller(Loop, {"127.0.0.1", Listener.port()});
+  auto RunUntil = [&](const std::function<bool()> &Condition) {
+    Instant Deadline = Timer.now() + absl::Seconds(20);
+    while (!Condition() && Timer.now() < Deadline) {
+      Loop.restart();
+      Loop.run_one_for(std::chrono::milliseconds(2));
+    }
+    return Condition();
+  };
+  CHECK(Listener.busyConnections() == 0);
+  Caller.send("GET / HTTP/1.1\r\nHo");
+  CHECK(RunUntil([&] { return Listener.busyConnections() == 1; }));
+  Caller.send("st: x\r\n\r\n");
+  CHECK(RunUntil([&] { return Caller.received().size() > 1000; }));
+  CHECK(Listener.busyConnections() == 1);
+  CHECK(RunUntil([&] { return Caller.received().size() > AnswerBytes; }));
+  CHECK(RunUntil([&] { return Listener.busyConnections() == 0; }));
+}
+
 TEST_CASE("An exception of a handler does not end the loop") {
   boost::asio::io_context Loop;
   int Runs = 0;
--- a/test/edge_notices_test.cpp
+++ b/test/edge_notices_test.cpp
@@ -111,6 +111,15 @@
         Before);
 }
 
+TEST_CASE_METHOD(
+    NoticesFixture,
+    "A refusal of another request does not prove that this one did "
+    "not run") {
+  this->setBehavior(ReplicaBehavior::CrossesRefusals);
+  CHECK(this->call("/once/a", "crossed").status() == 502);
+  CHECK(this->runCount("crossed") == 1);
+}
+
 TEST_CASE("Unusable pauses are bounded") {
   CHECK(parsePause("1.5").Length == absl::Milliseconds(1500));
   CHECK(parsePause("1.5").Accepted);
