Make few calls to a store that fails, and few at the start of all hosts

Ruled out: pages (one a topic), announcements (one a start). Change: while the store fails, the three hosts of a region with the lowest addresses probe it every 1.2 s, the others from 1 s on up to every 8 s, also while they take records from a peer; the table topics are not read until the replica entries are. A host that has just started waits up to 2.5 s (with jitter) after its first read for gossip of a reader; a seed does not wait, the lowest known address 0.8 s. A host answers the first datagram of a peer with its own state. A new reader announces itself once its entries are fresh. Tests: 'A few hosts probe a failing store, however many there are' (1 to 300 hosts), 'A paused follower probes a store that fails, but does not read'.

--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -107,6 +107,7 @@
   /// Addresses to send to: up to \p MaxCount random live peers, and one peer
   /// that is not live if there is any.
   std::vector<uint32_t> targets(size_t MaxCount, Instant Now);
+  bool isLive(uint32_t Ip, Instant Now) const;
   /// Peers last seen within the liveness timeout, without this host.
   std::vector<const Peer *> live(Instant Now) const;
   std::vector<const Peer *> seenWithin(absl::Duration Time, Instant Now) const;
--- a/include/berylramp/units.h
+++ b/include/berylramp/units.h
@@ -152,6 +152,9 @@
 /// Returns a uniformly distributed random number.
 uint64_t randomUint64();
 
+/// Returns a random factor from 0.5 to 1.5, which spreads delays of many hosts.
+double randomFactor();
+
 /// Returns the XXH3 hash of \p Text. The hash is the same on all hosts, so it
 /// can select shards and owners.
 uint64_t stableHash(const std::string &Text);
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -65,6 +65,14 @@
   return FirstAvailable != 0 ? FirstAvailable : Fallback;
 }
 
+bool probesOften(uint32_t Self, const std::vector<const PeerState *> &Others) {
+  size_t Before = 0;
+  for (const PeerState *Host : Others)
+    if (Host->Ready && !Host->Leaving && Host->Ip < Self)
+      Before += 1;
+  return Before < ProbersPerRegion;
+}
+
 bool writesBefore(const PeerState &A, const PeerState &B) {
   bool AIsReader = A.Store == StoreRole::Reader;
   bool BIsReader = B.Store == StoreRole::Reader;
--- a/src/edge/directory.h
+++ b/src/edge/directory.h
@@ -28,6 +28,13 @@
 uint32_t chooseReader(const std::vector<const PeerState *> &Candidates,
                       uint32_t Fallback);
 
+/// Number of hosts of a region that probe a store which fails them all.
+inline constexpr size_t ProbersPerRegion = 3;
+
+/// Whether \p Self probes the store often while it fails: it is among the
+/// ready hosts with the lowest addresses in \p Others and itself.
+bool probesOften(uint32_t Self, const std::vector<const PeerState *> &Others);
+
 /// Whether \p A writes roll-out states before \p B does. Readers of the store
 /// go first because they have the topic's current end offset; then the address
 /// decides.
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -40,29 +40,71 @@
 
 } // namespace
 
+std::vector<const PeerState *> EdgeDaemon::State::regionPeers() const {
+  std::vector<const PeerState *> Found;
+  for (const Peer *Candidate :
+       this->Peers.seenWithin(ReaderSeenTimeout, this->Timer.now())) {
+    auto Region = this->Config.Regions.find(Candidate->State.Place);
+    bool SameRegion = Region != this->Config.Regions.end() &&
+                      Region->second == this->Config.Region;
+    if (SameRegion)
+      Found.push_back(&Candidate->State);
+  }
+  return Found;
+}
+
 uint32_t EdgeDaemon::State::regionReader() const {
   std::vector<const PeerState *> Candidates;
   const PeerState &Self = this->Peers.self();
   if (this->isStoreAvailable())
     Candidates.push_back(&Self);
+  for (const PeerState *Candidate : this->regionPeers())
+    if (!hasFailed(this->Readers, Candidate->Ip, this->Timer.now()))
+      Candidates.push_back(Candidate);
+  return chooseReader(Candidates, Self.Ip);
+}
+
+// A host that has just started knows few peers and would take itself for the
+// reader, as all others that start with it. After its first read it therefore
+// waits for gossip of a reader. The host with the lowest address that it knows
+// waits less, and a seed does not wait.
+bool EdgeDaemon::State::isSettling() const {
+  const PeerState &Self = this->Peers.self();
   Instant Now = this->Timer.now();
-  for (const Peer *Candidate : this->Peers.seenWithin(ReaderSeenTimeout, Now)) {
-    if (hasFailed(this->Readers, Candidate->State.Ip, Now))
-      continue;
-    auto Region = this->Config.Regions.find(Candidate->State.Place);
-    bool SameRegion = Region != this->Config.Regions.end() &&
-                      Region->second == this->Config.Region;
-    if (SameRegion)
-      Candidates.push_back(&Candidate->State);
+  bool HasRead = this->Replicas->position().Next != NoOffset;
+  if (!HasRead || Self.Store == StoreRole::Reader || !(Now < this->SettledAt))
+    return false;
+  bool IsLowest = true;
+  for (const PeerState *Other : this->regionPeers()) {
+    if (Other->Store == StoreRole::Reader)
+      return false;
+    IsLowest = IsLowest && (Other->Leaving || Self.Ip < Other->Ip);
   }
-  return chooseReader(Candidates, Self.Ip);
+  return !IsLowest || Now < this->ClaimAt;
+}
+
+// While the store fails all hosts, a few of a region probe it. The others learn
+// from them by gossip that it serves again. A host without any records has no
+// peer to rely on yet and probes often too.
+void EdgeDaemon::State::limitProbes() {
+  bool Often = probesOften(this->Peers.self().Ip, this->regionPeers());
+  if (Often)
+    this->Replicas->setBackoff(FollowerConfig().MinBackoff, FrequentProbeDelay);
+  else
+    this->Replicas->setBackoff(RareProbeDelay / 8, RareProbeDelay);
+  if (this->Replicas->reachable())
+    return;
+  // The reads of the replica entries detect that the store serves again.
+  this->Operators->pause();
+  this->States->pause();
 }
 
 void EdgeDaemon::State::announceStoreRole(uint32_t Reader) {
   StoreRole Role = StoreRole::Standby;
   if (!this->isStoreAvailable())
     Role = StoreRole::Unreachable;
-  else if (Reader == this->Peers.self().Ip && this->ready())
+  else if (Reader == this->Peers.self().Ip && this->ready() &&
+           this->replicaEntriesAge() < this->maxReaderAge())
     Role = StoreRole::Reader;
   if (Role == this->Peers.self().Store)
     return;
@@ -105,6 +147,10 @@
          this->Timer.now() - this->NewerTableSince > NewerTableDelay;
 }
 
+absl::Duration EdgeDaemon::State::maxReaderAge() const {
+  return this->Config.Bounds.DrainTimeout * MaxReaderAgeFraction;
+}
+
 absl::Duration EdgeDaemon::State::replicaEntriesAge() const {
   return this->Timer.now() -
          std::max(this->Replicas->lastSuccess(), this->PeerEntriesAsOf);
@@ -123,13 +169,23 @@
   if (Newer.empty())
     this->NewerTableSince = Now;
   uint32_t Reader = this->regionReader();
+  if (this->isSettling()) {
+    for (const auto &Follower : {this->Operators, this->States, this->Replicas})
+      Follower->pause();
+    if (this->needsPeerRecords())
+      this->fetchFromAnyPeer(Newer.empty() ? All : Newer);
+    return;
+  }
   this->announceStoreRole(Reader);
-  bool Direct = Reader == this->Peers.self().Ip || !this->ready() ||
+  bool NeedsStart = !this->ready() && !(Now < this->SettledAt);
+  bool Direct = Reader == this->Peers.self().Ip || NeedsStart ||
                 this->Leaving || Now < this->DirectReadUntil;
   if (Direct) {
     this->setRecordSource(true);
-    this->resumeTableFollowers();
+    if (this->Replicas->reachable())
+      this->resumeTableFollowers();
   }
+  this->limitProbes();
   if (!Direct)
     this->fetchFromReader(Reader);
   else if (this->needsPeerRecords())
@@ -166,12 +222,10 @@
 
 void EdgeDaemon::State::onReaderRecords(
     const absl::StatusOr<PeerRecords> &Records, uint32_t Reader) {
-  absl::Duration MaxAge =
-      this->Config.Bounds.DrainTimeout * MaxReaderAgeFraction;
   ReaderAnswer Answer = ReaderAnswer::Usable;
   if (!Records.ok())
     Answer = ReaderAnswer::Missing;
-  else if (Records->Age >= MaxAge ||
+  else if (Records->Age >= this->maxReaderAge() ||
            Records->Replicas.Era < this->Replicas->position().Era)
     Answer = ReaderAnswer::Stale;
   recordAnswer(this->Readers, Reader, Answer, this->Timer.now());
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -189,9 +189,8 @@
   Line["era"] = Json::Int64(Era.count());
   logEvent(LogLevel::Warn, "store_restored", Line);
   // Spread over time: all hosts write at about the same moment.
-  double Part = static_cast<double>(randomUint64() % 1000) / 1000;
   auto Weak = this->weak_from_this();
-  this->Timer.after(this->Settings.RewriteSpread * Part, [Weak] {
+  this->Timer.after(this->Settings.RewriteSpread * randomFactor(), [Weak] {
     if (auto Self = Weak.lock())
       Self->announceHost(InitialHostsRetry);
   });
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -31,6 +31,12 @@
 /// store recovered, and the other topics are read then.
 constexpr absl::Duration MaxTableBackoff = absl::Seconds(5);
 
+/// Time in which the gossip of a region's reader reaches a host that has just
+/// started, before jitter.
+constexpr absl::Duration SettleTime = absl::Milliseconds(2500);
+/// Time in which such a host learns the addresses of a few dozen peers.
+constexpr absl::Duration ClaimDelay = absl::Milliseconds(800);
+
 /// Maximum delay between calls to the store about host addresses.
 constexpr absl::Duration MaxHostsRetry = absl::Seconds(12);
 
@@ -181,6 +187,7 @@
     return Opened;
   this->detectHostPause();
   this->startFollowers();
+  this->Link->sendState();
   this->Timer.schedulePeriodic(TickInterval, [this] { this->tick(); });
   this->Timer.schedulePeriodic(SweepInterval, [this] { this->sweep(); });
   this->Timer.schedulePeriodic(this->Settings.PeerReadInterval,
@@ -203,6 +210,13 @@
 
 void EdgeDaemon::State::startFollowers() {
   this->DirectReadSince = this->Timer.now();
+  bool IsSeed = std::any_of(
+      this->Config.Seeds.begin(), this->Config.Seeds.end(),
+      [this](const Endpoint &Seed) { return Seed.Ip == this->Config.Ip; });
+  if (!IsSeed && !this->Config.Seeds.empty()) {
+    this->SettledAt = this->Timer.now() + SettleTime * randomFactor();
+    this->ClaimAt = this->Timer.now() + ClaimDelay;
+  }
   auto StartFollower = [this](FollowerConfig Config,
                               StoreFollower::RecordsCallback OnRecords) {
     auto Follower = std::make_shared<StoreFollower>(
@@ -232,10 +246,13 @@
       std::max(this->Settings.ReplicaReadInterval,
                this->Config.Bounds.DrainTimeout * ReadIntervalFraction);
   this->Replicas = StartFollower(
-      {StoreTopic::Replicas, "replicas", absl::ZeroDuration(), Period},
+      {StoreTopic::Replicas, "replicas", absl::ZeroDuration(), Period,
+       FrequentProbeDelay, /*ProbesWhilePaused=*/true},
       [this](const StorePage &Page, bool IsSnapshot) {
         this->applyBatch(StoreTopic::Replicas, batchOf(Page, IsSnapshot),
                          this->storeRecentlyRecovered());
+        if (!this->Table)
+          this->resumeTableFollowers();
         this->Operators->retryNow();
         this->States->retryNow();
       });
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -20,6 +20,10 @@
 /// First delay between calls to the store about host addresses. A datagram of a
 /// live seed arrives within it.
 inline constexpr absl::Duration InitialHostsRetry = absl::Milliseconds(1500);
+/// Maximum delay between probes of a store that fails, for the hosts that probe
+/// on behalf of their region and for the others.
+inline constexpr absl::Duration FrequentProbeDelay = absl::Milliseconds(1200);
+inline constexpr absl::Duration RareProbeDelay = absl::Seconds(8);
 /// Fractions of the operators' retry bounds that the hosts use. The rest is a
 /// margin, because the operators count retries in other time windows.
 inline constexpr double RetryRatioFraction = 0.75;
@@ -59,6 +63,10 @@
   void sweep();
   void updateRecordSource();
   uint32_t regionReader() const;
+  /// Ready or not, the hosts of this region that were seen recently.
+  std::vector<const PeerState *> regionPeers() const;
+  void limitProbes();
+  bool isSettling() const;
   void announceStoreRole(uint32_t Reader);
   bool needsPeerRecords() const;
   void fetchFromReader(uint32_t Reader);
@@ -67,6 +75,8 @@
   void onReaderRecords(const absl::StatusOr<PeerRecords> &Records,
                        uint32_t Reader);
   absl::Duration replicaEntriesAge() const;
+  /// Age from which on the replica entries of a reader are too old.
+  absl::Duration maxReaderAge() const;
   void setRecordSource(bool Direct);
   void resumeTableFollowers();
   bool isStoreAvailable() const;
@@ -132,6 +142,10 @@
   std::set<std::string> SkippedKeys;
   /// The latest era of the store that a page or a peer stated.
   std::optional<StoreEra> LatestEra;
+  /// Until when a host that has just started waits for gossip of a reader, at
+  /// most and if it knows no host with a lower address.
+  Instant SettledAt;
+  Instant ClaimAt;
   Instant NewerTableSince;
   Instant DirectReadUntil;
   Instant DirectReadSince;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -50,34 +50,29 @@
   std::string Datagram = this->Peers.encode(Now);
   std::vector<uint32_t> Addresses =
       this->Peers.targets(static_cast<size_t>(this->Targets), Now);
-  for (uint32_t Ip : Addresses) {
-    boost::system::error_code Error;
-    udp::endpoint Peer(boost::asio::ip::address_v4(Ip),
-                       static_cast<uint16_t>(this->Config.GossipPort));
-    this->Socket.send_to(boost::asio::buffer(Datagram), Peer, 0, Error);
-    if (Error)
-      this->Counters.count(Counter::PeerExchangeFailures);
-    else
-      this->Counters.count(Counter::PeerBytesSent,
-                           static_cast<int64_t>(Datagram.size()));
-  }
+  for (uint32_t Ip : Addresses)
+    this->sendTo(Ip, Datagram);
   this->Counters.count(Counter::PeerExchanges);
 }
 
+void PeerLink::sendTo(uint32_t Ip, const std::string &Datagram) {
+  boost::system::error_code Error;
+  udp::endpoint Address(boost::asio::ip::address_v4(Ip),
+                        static_cast<uint16_t>(this->Config.GossipPort));
+  this->Socket.send_to(boost::asio::buffer(Datagram), Address, 0, Error);
+  if (Error)
+    this->Counters.count(Counter::PeerExchangeFailures);
+  else
+    this->Counters.count(Counter::PeerBytesSent,
+                         static_cast<int64_t>(Datagram.size()));
+}
+
 void PeerLink::broadcast(const std::string &Datagram,
                          const std::function<bool(const PlaceId &)> &Includes) {
   for (const Peer *Target : this->Peers.live(this->Timer.now())) {
     if (!Includes(Target->State.Place))
       continue;
-    boost::system::error_code Error;
-    udp::endpoint Address(boost::asio::ip::address_v4(Target->State.Ip),
-                          static_cast<uint16_t>(this->Config.GossipPort));
-    this->Socket.send_to(boost::asio::buffer(Datagram), Address, 0, Error);
-    if (Error)
-      this->Counters.count(Counter::PeerExchangeFailures);
-    else
-      this->Counters.count(Counter::PeerBytesSent,
-                           static_cast<int64_t>(Datagram.size()));
+    this->sendTo(Target->State.Ip, Datagram);
   }
 }
 
@@ -103,8 +98,9 @@
         std::array<char, MaxDatagramBytes> Bytes;
         boost::system::error_code Error;
         while (!Error) {
-          size_t Count =
-              Self->Socket.receive(boost::asio::buffer(Bytes), 0, Error);
+          udp::endpoint Sender;
+          size_t Count = Self->Socket.receive_from(boost::asio::buffer(Bytes),
+                                                   Sender, 0, Error);
           if (Error)
             break;
           Self->Counters.count(Counter::PeerBytesReceived,
@@ -116,13 +112,25 @@
             Self->OnWorkReport(Work);
           else if (decodeLeavingReport(Datagram, Leaving))
             Self->OnLeavingReport(Leaving);
-          else if (!Self->Peers.merge(Datagram, Self->Timer.now()))
-            Self->Counters.count(Counter::PeerExchangeFailures);
+          else
+            Self->mergeState(Datagram, Sender.address().to_v4().to_uint());
         }
         Self->receive();
       });
 }
 
+void PeerLink::mergeState(const std::string &Datagram, uint32_t Sender) {
+  Instant Now = this->Timer.now();
+  bool WasLive = this->Peers.isLive(Sender, Now);
+  if (!this->Peers.merge(Datagram, Now)) {
+    this->Counters.count(Counter::PeerExchangeFailures);
+    return;
+  }
+  // A host that has just started learns of the others from the answer.
+  if (!WasLive && this->Peers.isLive(Sender, Now))
+    this->sendTo(Sender, this->Peers.encode(Now));
+}
+
 bool PeerLink::fetch(uint32_t Ip, const PeerQuery &Query,
                      std::function<void(absl::StatusOr<PeerRecords>)> Done) {
   if (this->FetchInFlight || this->Config.Peers.Port == 0)
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -41,6 +41,8 @@
 
 private:
   void receive();
+  void mergeState(const std::string &Datagram, uint32_t Sender);
+  void sendTo(uint32_t Ip, const std::string &Datagram);
   /// Sends a datagram to the live hosts in the places that \p Includes selects.
   void broadcast(const std::string &Datagram,
                  const std::function<bool(const PlaceId &)> &Includes);
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -8,21 +8,12 @@
 
 namespace {
 
-/// Delay after the first failed read. It doubles with each further failure and
-/// has jitter, so that hosts whose reads began to fail at the same time do not
-/// all retry at the same time.
-constexpr absl::Duration InitialBackoff = absl::Milliseconds(100);
 /// Delay between long polls, so that a burst of records takes few calls.
 constexpr absl::Duration MinReadInterval = absl::Milliseconds(20);
 /// Minimum delay after the store refused a call because the calls of all hosts
 /// together exceed its limit.
 constexpr absl::Duration RateLimitBackoff = absl::Milliseconds(400);
 
-double jitter() {
-  constexpr double Steps = 1000;
-  return 0.5 + static_cast<double>(randomUint64() % 1000) / Steps;
-}
-
 } // namespace
 
 void StoreFollower::skipTo(StorePosition From) {
@@ -92,7 +83,7 @@
   this->OnRecords(*Page, IsSnapshot);
   bool LongPolls = this->Config.PollTimeout > absl::ZeroDuration();
   this->scheduleRead(LongPolls ? MinReadInterval
-                               : this->Config.ReadInterval * jitter());
+                               : this->Config.ReadInterval * randomFactor());
 }
 
 bool StoreFollower::acceptEra(const StorePage &Page, bool IsSnapshot) {
@@ -108,7 +99,7 @@
   if (Page.Era < Known) {
     // A peer knows a later era, so the answer is from before the change.
     this->Position.Next = NoOffset;
-    this->scheduleRead(InitialBackoff * jitter());
+    this->scheduleRead(this->Config.MinBackoff * randomFactor());
     return false;
   }
   this->RecoveredAt = this->Timer.now();
@@ -128,11 +119,11 @@
     logEvent(LogLevel::Warn, "store_lost", Line);
   }
   this->Reachable = false;
-  this->Backoff =
-      std::clamp(this->Backoff * 2, InitialBackoff, this->Config.MaxBackoff);
+  this->Backoff = std::clamp(this->Backoff * 2, this->Config.MinBackoff,
+                             this->Config.MaxBackoff);
   if (absl::IsResourceExhausted(Failure))
     this->Backoff = std::max(this->Backoff, RateLimitBackoff);
-  this->scheduleRead(this->Backoff * jitter());
+  this->scheduleRead(this->Backoff * randomFactor());
 }
 
 void StoreFollower::scheduleRead(absl::Duration Delay) {
@@ -149,7 +140,8 @@
 void StoreFollower::onDelayElapsed() {
   this->Delaying = false;
   this->Active = false;
-  if (this->Stopped || this->Paused)
+  bool Probes = this->Config.ProbesWhilePaused && !this->Reachable;
+  if (this->Stopped || (this->Paused && !Probes))
     return;
   if (this->Position.Next == NoOffset)
     this->readNewest();
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -17,6 +17,13 @@
   absl::Duration ReadInterval;
   /// Maximum delay after a failed read, before jitter.
   absl::Duration MaxBackoff = absl::Milliseconds(1200);
+  /// Whether failed reads are repeated while the follower is paused, so that
+  /// the host learns when the store serves it again.
+  bool ProbesWhilePaused = false;
+  /// Delay after the first failed read. It doubles with each further failure
+  /// and has jitter, so that hosts whose reads began to fail at the same time
+  /// do not all retry at the same time.
+  absl::Duration MinBackoff = absl::Milliseconds(100);
 };
 
 /// Reads the newest records of a topic, then each further record, and passes
@@ -40,6 +47,10 @@
   /// Continues to read; starts with the newest records when nothing was read
   /// yet.
   void resume();
+  void setBackoff(absl::Duration Min, absl::Duration Max) {
+    this->Config.MinBackoff = Min;
+    this->Config.MaxBackoff = Max;
+  }
   /// Reads at once if the last read failed and the next one is delayed.
   void retryNow();
   /// Continues at \p From if that is after the position and no read is in
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -270,6 +270,12 @@
   return Chosen;
 }
 
+bool PeerTable::isLive(uint32_t Ip, Instant Now) const {
+  auto Found = this->Peers.find(Ip);
+  return Found != this->Peers.end() &&
+         Now - Found->second.LastSeen < LivenessTimeout;
+}
+
 std::vector<const Peer *> PeerTable::live(Instant Now) const {
   return this->seenWithin(LivenessTimeout, Now);
 }
--- a/src/units/units.cpp
+++ b/src/units/units.cpp
@@ -71,6 +71,11 @@
   return absl::Uniform<uint64_t>(Generator);
 }
 
+double randomFactor() {
+  constexpr uint64_t Steps = 1000;
+  return 0.5 + static_cast<double>(randomUint64() % Steps) / Steps;
+}
+
 uint64_t stableHash(const std::string &Text) {
   return XXH3_64bits(Text.data(), Text.size());
 }
--- a/test/edge_era_test.cpp
+++ b/test/edge_era_test.cpp
@@ -111,6 +111,42 @@
   CHECK(this->Follower->position() == StorePosition{StoreEra(2), Offset(12)});
 }
 
+TEST_CASE("A paused follower probes a store that fails, but does not read") {
+  boost::asio::io_context Loop;
+  LoopTimer Timer(Loop);
+  Metrics Counters;
+  int Calls = 0;
+  bool Serves = false;
+  StorePort Port;
+  Port.Newest = [&](StoreTopic, const PageCallback &Done) {
+    Calls += 1;
+    if (Serves)
+      Done(StorePage{{}, Offset(1), StoreEra(1)});
+    else
+      Done(absl::UnavailableError("503"));
+  };
+  Port.Read = [&](StoreTopic, Offset, absl::Duration,
+                  const PageCallback &Done) { Port.Newest({}, Done); };
+  FollowerConfig Config;
+  Config.MaxBackoff = absl::Milliseconds(20);
+  Config.ReadInterval = absl::Milliseconds(1);
+  Config.ProbesWhilePaused = true;
+  auto Follower = std::make_shared<StoreFollower>(
+      Port, Timer, Counters, Config, [](const StorePage &, bool) {});
+  Follower->start();
+  Follower->pause();
+  Loop.run_for(std::chrono::milliseconds(300));
+  CHECK(Calls > 2);
+  CHECK_FALSE(Follower->reachable());
+  Serves = true;
+  while (!Follower->reachable())
+    Loop.run_one();
+  int Before = Calls;
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(100));
+  CHECK(Calls == Before);
+}
+
 TEST_CASE_METHOD(EraFixture, "The table in force outlives the store's copy") {
   this->Store->takeCopy();
   this->putTable(2, {"key-2"});
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -88,6 +88,24 @@
   CHECK_FALSE(writesBefore(A, B));
 }
 
+TEST_CASE("A few hosts probe a failing store, however many there are") {
+  for (uint32_t Count : {1U, 2U, 30U, 300U}) {
+    CAPTURE(Count);
+    std::vector<PeerState> Hosts;
+    for (uint32_t Ip = 1; Ip <= Count; ++Ip)
+      Hosts.push_back(makeHost(Ip, "a1"));
+    size_t Probers = 0;
+    for (const PeerState &Self : Hosts) {
+      std::vector<const PeerState *> Others;
+      for (const PeerState &Host : Hosts)
+        if (Host.Ip != Self.Ip)
+          Others.push_back(&Host);
+      Probers += probesOften(Self.Ip, Others) ? 1 : 0;
+    }
+    CHECK(Probers == std::min<size_t>(Count, ProbersPerRegion));
+  }
+}
+
 TEST_CASE("A host that the store does not serve is not the reader") {
   PeerState A = makeHost(1, "a1");
   PeerState B = makeHost(2, "a1");
