Keep unused retries for a window, for failures alone

Cause: a host's retries of a service were capped at its share of the slack (430 x 0.8 / 195 is under 2). In any window all hosts together stay within Ratio x first attempts + KeptRatio x those of the window before + slack, whatever they see of each other; the operators count the larger of the two windows with the sum of both ratios. Tests: 'Retries of all hosts stay within the bound in every window' (any times, any partition), 'Load pattern: many streams of a host break at the same moment', 'Steps to a larger model leave a part of the budget to failures'. 'Retries never exceed the budget' checks what it did.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -38,6 +38,8 @@
   /// may make.
   double RetryRatio = 0.2;
   double RetrySlack = 10;
+  /// The sliding window in which the operators count them.
+  absl::Duration RetryWindow = absl::Seconds(10);
   ExposureBounds Exposure;
   /// Maximum time for which callers may cache an answer of the directory.
   absl::Duration MaxAddressTtl = absl::Seconds(5);
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -224,10 +224,8 @@
   size_t MaxEventBytes = 256U << 10;
   /// Ratio of requests to slots above which new requests are refused.
   double MaxUtilization = 2.5;
-  /// Retries per first attempt to a service, over all hosts, and this host's
-  /// share of the operators' retry slack.
-  double RetryRatio = 0.7;
-  double RetrySlack = 3;
+  /// This host's share of the retries to one service.
+  RetryShares Retries{0.7, 0.1, 3, absl::Seconds(10)};
   CascadeSettings Cascade;
 };
 
@@ -266,7 +264,7 @@
   ~Exchange();
 
   void handle(CallerRequest Request, ResponderPtr CallerResponder);
-  /// Sets the maximum number of unused retries that accumulate per service.
+  /// Sets this host's share of the operators' retry slack.
   void setRetrySlack(double Slack);
   /// Number of requests in progress.
   size_t activeRequests() const;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "berylramp/timer.h"
 #include "berylramp/units.h"
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -218,25 +219,53 @@
   absl::Duration PerStreamDelay = absl::Milliseconds(8);
 };
 
-/// Bounds retries in proportion to first attempts. Every host keeps its own
-/// budget, and the sum over all hosts stays below the operators' limit.
+/// Why a request is sent to a second replica.
+enum class RepeatReason {
+  /// The attempt before failed.
+  Failure,
+  /// A larger model is to answer; the answer of the smaller one exists.
+  LargerModel
+};
+
+/// Shares of the operators' bounds on repeats that one host may use.
+struct RetryShares {
+  /// Repeats per first attempt.
+  double Ratio = 0;
+  /// Unused repeats that are kept, per first attempt of the last window.
+  double KeptRatio = 0;
+  /// Additional repeats.
+  double Slack = 0;
+  absl::Duration Window = absl::Seconds(10);
+};
+
+/// Bounds repeats in proportion to first attempts. Every host keeps its own
+/// budget. In any window, all hosts together repeat at most Ratio times the
+/// first attempts in it, KeptRatio times those in the window before, and the
+/// sum of their slacks, whatever the hosts see of each other.
 class RetryBudget {
 public:
-  /// Each first attempt adds \p Ratio retries, up to a balance of
-  /// \p MaxBalance.
-  RetryBudget(double Ratio, double MaxBalance)
-      : Ratio(Ratio), MaxBalance(MaxBalance), Balance(MaxBalance) {}
+  explicit RetryBudget(const RetryShares &Shares)
+      : Shares(Shares), Balance(Shares.Slack) {}
 
-  void onFirstAttempt();
-  /// Changes the maximum balance; an increase is added to the balance at once.
-  void setMaxBalance(double Count);
-  /// Takes one retry from the budget; false when the balance is below one.
-  bool tryAcquire();
+  void onFirstAttempt(Instant Now);
+  /// Changes the slack; an increase is added to the balance at once.
+  void setSlack(double Count);
+  /// Takes one repeat from the budget; false when it is exhausted. What is kept
+  /// for a window is reserved for failures.
+  bool tryAcquire(RepeatReason Reason, Instant Now);
 
 private:
-  double Ratio;
-  double MaxBalance;
+  static constexpr int64_t SlotsPerWindow = 20;
+  struct Slot {
+    int64_t Number = -1;
+    int64_t FirstAttempts = 0;
+  };
+  int64_t slotNumber(Instant Now) const;
+  double maxBalance(Instant Now) const;
+
+  RetryShares Shares;
   double Balance;
+  std::array<Slot, SlotsPerWindow> Slots;
 };
 
 /// The replicas of all services.
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -33,13 +33,16 @@
 void EdgeDaemon::State::tick() {
   this->Peers.self().Ready = this->ready();
   this->Peers.self().Leaving = this->Leaving;
-  this->Relayer->setRetrySlack(
-      std::max(1.0, this->Config.Bounds.RetrySlack * RetrySlackFraction /
-                        static_cast<double>(this->hostCount())));
+  this->Relayer->setRetrySlack(this->retrySlackShare());
   this->Rollouts->tick(this->Peers);
   this->detectHostPause();
 }
 
+double EdgeDaemon::State::retrySlackShare() const {
+  return std::max(1.0, this->Config.Bounds.RetrySlack * RetrySlackFraction /
+                           static_cast<double>(this->hostCount()));
+}
+
 size_t EdgeDaemon::State::hostCount() const {
   // The retry slack is divided by at least this number, because hosts that this
   // host has not seen yet use a part of it too.
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -50,9 +50,10 @@
   ExchangeSettings Result;
   Result.Names = this->Platform.Codec.Headers;
   const HostBounds &Bounds = this->Config.Bounds;
-  Result.RetryRatio = Bounds.RetryRatio * RetryRatioFraction;
-  Result.RetrySlack = std::max(1.0, Bounds.RetrySlack * RetrySlackFraction /
-                                        static_cast<double>(this->hostCount()));
+  Result.Retries.Ratio = Bounds.RetryRatio * RetryRatioFraction;
+  Result.Retries.KeptRatio = Bounds.RetryRatio * (1 - RetryRatioFraction);
+  Result.Retries.Slack = this->retrySlackShare();
+  Result.Retries.Window = Bounds.RetryWindow;
   Result.Cascade = this->Settings.Cascade;
   Result.StreamIdleTimeout = this->Settings.StreamIdleTimeout;
   auto Memory = static_cast<double>(this->Config.MemoryBytes);
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -24,8 +24,9 @@
 /// on behalf of their region and for the others.
 inline constexpr absl::Duration FrequentProbeDelay = absl::Milliseconds(1200);
 inline constexpr absl::Duration RareProbeDelay = absl::Seconds(8);
-/// Fractions of the operators' retry bounds that the hosts use. The rest is a
-/// margin, because the operators count retries in other time windows.
+/// Fractions of the operators' retry bounds. Of the ratio, the rest may be kept
+/// from one window to the next; of the slack, it is a margin for hosts that
+/// this host does not know.
 inline constexpr double RetryRatioFraction = 0.75;
 inline constexpr double RetrySlackFraction = 0.8;
 
@@ -118,6 +119,7 @@
   void finishStop();
   int writerRank() const;
   size_t hostCount() const;
+  double retrySlackShare() const;
 
   boost::asio::io_context &Loop;
   LoopTimer &Timer;
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -22,10 +22,9 @@
   RetryBudget &budget(const ServiceId &Service) {
     auto Found = this->Budgets.find(Service);
     if (Found == this->Budgets.end())
-      Found = this->Budgets
-                  .emplace(Service, RetryBudget(this->Settings.RetryRatio,
-                                                this->Settings.RetrySlack))
-                  .first;
+      Found =
+          this->Budgets.emplace(Service, RetryBudget(this->Settings.Retries))
+              .first;
     return Found->second;
   }
 
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -29,9 +29,9 @@
 }
 
 void Exchange::setRetrySlack(double Slack) {
-  this->Shared->Settings.RetrySlack = Slack;
+  this->Shared->Settings.Retries.Slack = Slack;
   for (auto &[Service, Budget] : this->Shared->Budgets)
-    Budget.setMaxBalance(Slack);
+    Budget.setSlack(Slack);
 }
 
 size_t Exchange::activeRequests() const { return this->Shared->Active.size(); }
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -50,7 +50,7 @@
     if (auto Self = Weak.lock())
       Self->onCallerLeft();
   });
-  this->Core.budget(this->Service).onFirstAttempt();
+  this->Core.budget(this->Service).onFirstAttempt(this->now());
   this->startNextAttempt();
 }
 
@@ -223,7 +223,8 @@
     return;
   }
   bool RetryAllowed = this->AttemptsSent == 0 || this->RetryBudgetAcquired ||
-                      this->Core.budget(this->Service).tryAcquire();
+                      this->Core.budget(this->Service)
+                          .tryAcquire(RepeatReason::Failure, this->now());
   this->RetryBudgetAcquired = false;
   if (!RetryAllowed) {
     this->failRequest(RefusalKind::UpstreamFailed,
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -128,7 +128,9 @@
     return false;
   // A low-confidence answer is better than none: keep it if the retry budget is
   // exhausted.
-  this->RetryBudgetAcquired = this->Core.budget(this->Service).tryAcquire();
+  this->RetryBudgetAcquired =
+      this->Core.budget(this->Service)
+          .tryAcquire(RepeatReason::LargerModel, this->now());
   return this->RetryBudgetAcquired;
 }
 
--- a/src/upstreams/estimators.cpp
+++ b/src/upstreams/estimators.cpp
@@ -60,18 +60,45 @@
   return Count * (1 + Count / AttentionParityTokens);
 }
 
-void RetryBudget::onFirstAttempt() {
-  this->Balance = std::min(this->MaxBalance, this->Balance + this->Ratio);
+int64_t RetryBudget::slotNumber(Instant Now) const {
+  absl::Duration Remainder;
+  return absl::IDivDuration(Now.SinceStart,
+                            this->Shares.Window / SlotsPerWindow, &Remainder);
 }
 
-void RetryBudget::setMaxBalance(double Count) {
-  this->Balance += std::max(0.0, Count - this->MaxBalance);
-  this->MaxBalance = Count;
-  this->Balance = std::min(this->Balance, this->MaxBalance);
+double RetryBudget::maxBalance(Instant Now) const {
+  int64_t Current = this->slotNumber(Now);
+  int64_t FirstAttempts = 0;
+  for (const Slot &Entry : this->Slots)
+    if (Entry.Number > Current - SlotsPerWindow)
+      FirstAttempts += Entry.FirstAttempts;
+  return this->Shares.Slack +
+         this->Shares.KeptRatio * static_cast<double>(FirstAttempts);
 }
 
-bool RetryBudget::tryAcquire() {
-  if (this->Balance < 1)
+void RetryBudget::onFirstAttempt(Instant Now) {
+  // The balance is limited before this attempt counts, so that what is kept
+  // never exceeds the share of earlier attempts.
+  this->Balance = std::min(this->Balance, this->maxBalance(Now));
+  int64_t Number = this->slotNumber(Now);
+  Slot &Current = this->Slots[static_cast<size_t>(Number % SlotsPerWindow)];
+  if (Current.Number != Number)
+    Current = Slot{Number, 0};
+  Current.FirstAttempts += 1;
+  this->Balance += this->Shares.Ratio;
+}
+
+void RetryBudget::setSlack(double Count) {
+  this->Balance += std::max(0.0, Count - this->Shares.Slack);
+  this->Shares.Slack = Count;
+}
+
+bool RetryBudget::tryAcquire(RepeatReason Reason, Instant Now) {
+  double Max = this->maxBalance(Now);
+  this->Balance = std::min(this->Balance, Max);
+  double Reserved =
+      Reason == RepeatReason::LargerModel ? Max - this->Shares.Slack : 0;
+  if (this->Balance < 1 + Reserved)
     return false;
   this->Balance -= 1;
   return true;
--- a/test/upstreams_test.cpp
+++ b/test/upstreams_test.cpp
@@ -2,6 +2,7 @@
 
 #include "berylramp/upstreams.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <rapidcheck/catch.h>
@@ -330,19 +331,93 @@
   CHECK(Estimator.msPerToken() == Approx(0.04).epsilon(0.1));
 }
 
+namespace {
+
+const RetryShares Shares{0.5, 0.2, 3, absl::Seconds(10)};
+
+/// Times of events in seconds.
+struct TimeSeries {
+  std::vector<double> Times;
+  double countIn(double After, double Until) const {
+    return static_cast<double>(
+        std::count_if(this->Times.begin(), this->Times.end(),
+                      [&](double At) { return At > After && At <= Until; }));
+  }
+};
+
+} // namespace
+
 TEST_CASE("Retries never exceed the budget") {
   rc::prop("over any order of attempts", [] {
-    RetryBudget Budget(0.5, 3);
+    RetryBudget Budget(Shares);
     int FirstAttempts = 0;
     int Retries = 0;
     for (bool IsRetry : *rc::gen::arbitrary<std::vector<bool>>()) {
       if (!IsRetry) {
-        Budget.onFirstAttempt();
+        Budget.onFirstAttempt(atSecond(0));
         FirstAttempts += 1;
-      } else if (Budget.tryAcquire()) {
+      } else if (Budget.tryAcquire(RepeatReason::Failure, atSecond(0))) {
         Retries += 1;
       }
-      RC_ASSERT(Retries <= 0.5 * FirstAttempts + 3);
+      RC_ASSERT(Retries <= Shares.Ratio * FirstAttempts + Shares.Slack);
+    }
+  });
+}
+
+TEST_CASE("Retries of all hosts stay within the bound in every window") {
+  rc::prop("over any times and any partition of the traffic", [] {
+    constexpr size_t HostCount = 4;
+    std::vector<RetryBudget> Hosts(HostCount, RetryBudget(Shares));
+    TimeSeries FirstAttempts;
+    TimeSeries Retries;
+    double Seconds = 0;
+    int Steps = *rc::gen::inRange(1, 200);
+    for (int Step = 0; Step < Steps; ++Step) {
+      Seconds += *rc::gen::inRange(0, 8) * 0.25;
+      RetryBudget &Host = Hosts[*rc::gen::inRange<size_t>(0, HostCount)];
+      int Count = *rc::gen::inRange(1, 12);
+      bool IsRetry = *rc::gen::arbitrary<bool>();
+      for (int Index = 0; Index < Count; ++Index) {
+        if (!IsRetry) {
+          Host.onFirstAttempt(atSecond(Seconds));
+          FirstAttempts.Times.push_back(Seconds);
+        } else if (Host.tryAcquire(RepeatReason::Failure, atSecond(Seconds))) {
+          Retries.Times.push_back(Seconds);
+        }
+      }
+      double Window = absl::ToDoubleSeconds(Shares.Window);
+      double Bound =
+          Shares.Ratio * FirstAttempts.countIn(Seconds - Window, Seconds) +
+          Shares.KeptRatio *
+              FirstAttempts.countIn(Seconds - 2 * Window, Seconds - Window) +
+          Shares.Slack * HostCount;
+      RC_ASSERT(Retries.countIn(Seconds - Window, Seconds) <= Bound);
     }
   });
 }
+
+TEST_CASE("Load pattern: many streams of a host break at the same moment") {
+  RetryBudget Budget(Shares);
+  for (int Index = 0; Index < 60; ++Index)
+    Budget.onFirstAttempt(atSecond(Index * 0.1));
+  int Repeated = 0;
+  for (int Index = 0; Index < 30; ++Index)
+    Repeated += Budget.tryAcquire(RepeatReason::Failure, atSecond(6)) ? 1 : 0;
+  CHECK(Repeated >= 12);
+  // The window has passed; nothing was kept, and the slack is used.
+  CHECK_FALSE(Budget.tryAcquire(RepeatReason::Failure, atSecond(30)));
+}
+
+TEST_CASE("Steps to a larger model leave a part of the budget to failures") {
+  RetryBudget Budget(Shares);
+  for (int Index = 0; Index < 100; ++Index)
+    Budget.onFirstAttempt(atSecond(0));
+  int Steps = 0;
+  while (Budget.tryAcquire(RepeatReason::LargerModel, atSecond(1)))
+    Steps += 1;
+  int Failures = 0;
+  while (Budget.tryAcquire(RepeatReason::Failure, atSecond(1)))
+    Failures += 1;
+  CHECK(Steps == static_cast<int>(Shares.Slack));
+  CHECK(Failures == 20);
+}
