Read again before bounds apply to a host that started, and trust unnumbered entries

Read in the diff: with jitter a host that waits for a reader read again up to 4.25 s after its start, while the operators' bounds apply from 4 s on (2 s and jitter make it 3.5 s). An entry without a sequence, as another writer may leave it, counted as older than any known one, so that its draining would have been ignored. Test: 'An entry from before the known one is outdated' checks the unnumbered entry.

--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -32,8 +32,9 @@
 constexpr absl::Duration MaxTableBackoff = absl::Seconds(5);
 
 /// Time in which the gossip of a region's reader reaches a host that has just
-/// started, before jitter.
-constexpr absl::Duration SettleTime = absl::Milliseconds(2500);
+/// started, before jitter. With it, the host reads again before the operators'
+/// bounds on the age of its records apply to it.
+constexpr absl::Duration SettleTime = absl::Milliseconds(2000);
 /// Time in which such a host learns the addresses of a few dozen peers.
 constexpr absl::Duration ClaimDelay = absl::Milliseconds(800);
 
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -126,12 +126,14 @@
   ReplicaPtr Known = this->find(Entry.Id);
   if (Known != nullptr && Entry.StartedAtMs != Known->Entry.StartedAtMs)
     return Entry.StartedAtMs < Known->Entry.StartedAtMs;
+  // An entry of another writer may lack the sequence.
+  bool HasSequence = Entry.Sequence != 0;
   if (Known != nullptr && !Known->Removed)
-    return Entry.Sequence < Known->Entry.Sequence;
+    return HasSequence && Entry.Sequence < Known->Entry.Sequence;
   auto Notice = this->Notices.find(Entry.Id.text());
   return Notice != this->Notices.end() &&
          (Entry.StartedAtMs < Notice->second.StartedAtMs ||
-          (Entry.StartedAtMs == Notice->second.StartedAtMs &&
+          (HasSequence && Entry.StartedAtMs == Notice->second.StartedAtMs &&
            Entry.Sequence < Notice->second.RemovedSequence));
 }
 
--- a/test/upstreams_test.cpp
+++ b/test/upstreams_test.cpp
@@ -123,6 +123,9 @@
   Older.Sequence = 47;
   CHECK(Registry.isOutdated(Older));
   CHECK_FALSE(Registry.isOutdated(Entry));
+  ReplicaEntry Unnumbered = Entry;
+  Unnumbered.Sequence = 0;
+  CHECK_FALSE(Registry.isOutdated(Unnumbered));
   Registry.remove(Entry.Id, atSecond(1), absl::ZeroDuration());
   Registry.sweep(atSecond(2));
   CHECK(Registry.isOutdated(Older));
