Accept a later entry that ends a replica's draining

Ruled out: the store (records were read), a missing table. Change: an entry's draining holds until a later entry of the process; an older one, which a restored store returns, is recognized by its sequence and ignored, as before. What a replica states in its answers still holds until it starts anew.

--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -118,8 +118,6 @@
   }
   Slot->Entry = Entry;
   Slot->Removed = false;
-  if (Entry.Draining)
-    this->markLeaving(Entry.Id, Now);
 }
 
 bool UpstreamRegistry::isOutdated(const ReplicaEntry &Entry) const {
