Log the evidence of a roll-out over time and the version of each request

The logs stated the evidence only when the share changed or a host tripped, so that a version that never tripped left none, and joining requests with versions needed the log of replica entries.

No logic is changed.

--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -20,6 +20,8 @@
 /// reads the state before it writes one.
 constexpr absl::Duration WriteDelayPerRank = absl::Milliseconds(400);
 
+constexpr absl::Duration EvidenceLogInterval = absl::Seconds(2);
+
 const char *stateName(RolloutState State) {
   switch (State) {
   case RolloutState::InProgress:
@@ -39,6 +41,15 @@
   return Line;
 }
 
+void addEvidence(Json::Value &Line, const RolloutEvidence &Evidence) {
+  Line["target_good"] = Json::Int64(Evidence.Target.Good);
+  Line["target_bad"] = Json::Int64(Evidence.Target.Bad);
+  Line["others_good"] = Json::Int64(Evidence.Others.Good);
+  Line["others_bad"] = Json::Int64(Evidence.Others.Bad);
+  Line["target_ms"] = Json::Int64(Evidence.Target.FirstByteMs);
+  Line["others_ms"] = Json::Int64(Evidence.Others.FirstByteMs);
+}
+
 } // namespace
 
 void RolloutController::onOrder(const RolloutOrder &Order) {
@@ -158,12 +169,7 @@
   if (Next.State == RolloutState::Reverted && !Rollout.Tripped) {
     Rollout.Tripped = true;
     Json::Value Line = logFieldsOf(Rollout.Order);
-    Line["target_good"] = Json::Int64(Evidence.Target.Good);
-    Line["target_bad"] = Json::Int64(Evidence.Target.Bad);
-    Line["others_good"] = Json::Int64(Evidence.Others.Good);
-    Line["others_bad"] = Json::Int64(Evidence.Others.Bad);
-    Line["target_ms"] = Json::Int64(Evidence.Target.FirstByteMs);
-    Line["others_ms"] = Json::Int64(Evidence.Others.FirstByteMs);
+    addEvidence(Line, Evidence);
     logEvent(LogLevel::Warn, "rollout_tripped", Line);
     this->Callbacks.NotifyPeers();
   }
@@ -176,9 +182,21 @@
     logEvent(LogLevel::Info, "rollout_share", Line);
   }
   Rollout.LoggedShare = Next.Share;
+  this->logEvidence(Rollout, Elapsed);
   this->requestState(Rollout, Next.State);
 }
 
+void RolloutController::logEvidence(Entry &Rollout, absl::Duration Elapsed) {
+  Instant Now = this->Callbacks.Now();
+  if (Now - Rollout.EvidenceLoggedAt < EvidenceLogInterval)
+    return;
+  Rollout.EvidenceLoggedAt = Now;
+  Json::Value Line = logFieldsOf(Rollout.Order);
+  Line["elapsed_ms"] = Json::Int64(absl::ToInt64Milliseconds(Elapsed));
+  addEvidence(Line, Rollout.Evidence);
+  logEvent(LogLevel::Info, "rollout_evidence", Line);
+}
+
 void RolloutController::requestState(Entry &Rollout, RolloutState State) {
   Instant Now = this->Callbacks.Now();
   if (Rollout.Recorded && Rollout.State == State && !Rollout.NeedsRewrite)
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -65,6 +65,7 @@
     RolloutState State = RolloutState::InProgress;
     double CanaryShare = 0;
     double LoggedShare = 0;
+    Instant EvidenceLoggedAt{-absl::InfiniteDuration()};
     /// All hosts' evidence at the last tick.
     RolloutEvidence Evidence;
     /// The state that this host will write, and since when.
@@ -74,6 +75,8 @@
   };
   void advance(Entry &Rollout, const PeerTable &Peers);
   void requestState(Entry &Rollout, RolloutState State);
+  /// Logs all hosts' evidence in regular intervals.
+  void logEvidence(Entry &Rollout, absl::Duration Elapsed);
 
   ExposureBounds Bounds;
   Ports Callbacks;
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -245,6 +245,7 @@
   this->AttemptsStarted += 1;
   this->TriedReplicas.push_back(TargetReplica->Entry.Id);
   this->LastReplica = TargetReplica->Entry.Id.text();
+  this->LastVersion = TargetReplica->Entry.Version.text();
   this->ExpectedTime = Chosen.QueueDelay + Chosen.PrefillTime;
   auto NewAttempt = std::make_shared<Attempt>(this->weak_from_this(),
                                               TargetReplica, Core.Loop);
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -98,6 +98,7 @@
   std::shared_ptr<Attempt> Current;
   std::vector<UpstreamId> TriedReplicas;
   std::string LastReplica;
+  std::string LastVersion;
   /// Predicted wait and work of the last attempt, logged for comparison with
   /// the actual time.
   absl::Duration ExpectedTime;
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -105,8 +105,10 @@
     Line["table"] = Json::Int64(this->Table->Version.count());
   if (this->MatchedRoute != nullptr)
     Line["route"] = this->MatchedRoute->Name;
-  if (!this->LastReplica.empty())
+  if (!this->LastReplica.empty()) {
     Line["replica"] = this->LastReplica;
+    Line["version"] = this->LastVersion;
+  }
   if (this->LastLoad.Slots > 0)
     Line["running"] = this->LastLoad.Running;
   if (this->MatchedRoute != nullptr && this->MatchedRoute->EventStream)
