Plan full traffic so that it fits into the exposure bound

Callers saw a bad version receive up to 0.58 of a service's requests. Cause: from 0.52 of the time limit on the target received everything, 0.48 of the requests where 0.15 and 30 are allowed, whatever was known of it. Detection alone cannot mend that: a version may turn bad after it is complete, or show its fault to no test at all.

Change: hosts plan, from the requests so far and their rate, the time from which on everything until the time limit fits into the bound (0.85 of it); they adopt the latest plan by gossip, so that sessions do not go back. Completion is recorded 1 s before the time limit. The canary's share is at most 0.35 of the bound instead of 0.6. Reports of hosts that restart stay in the sum. Gossip has a new layout: hosts of the old one are ignored while a daemon is upgraded.

Tests: the simulated roll-out failed before (383 to 437 requests, about 150 allowed) and passes; a property of the plan. Two tests stated the time of the jump and now state the plan; the first half, the duty to complete and the takeover of a peer's time are checked as before. A third, of a fault that shows only under all traffic, passed before and is now listed: completion comes before the fault is seen.

--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -31,6 +31,9 @@
   /// Milliseconds since the host first received the order, or since the start
   /// that peers reported if that is earlier.
   int64_t ElapsedMs = 0;
+  /// The time of full traffic that the host plans, in milliseconds since the
+  /// order; 0 when it has no plan yet.
+  int64_t FullTrafficMs = 0;
 };
 
 /// Report on prefill work that a host sent to a replica which other hosts use
@@ -115,16 +118,20 @@
   void sweep(Instant Now);
   size_t size() const { return this->Peers.size(); }
 
-  /// The sum of all known hosts' evidence on \p Order. Raises \p Elapsed to the
+  /// The sum of all known hosts' evidence on \p Order, including what hosts
+  /// reported before they restarted. Raises \p Elapsed to the
   /// longest time since the order that any of them reports.
   RolloutEvidence evidence(uint64_t Order, Instant Now,
                            absl::Duration &Elapsed) const;
 
 private:
   void apply(const PeerState &State, Instant Now);
+  /// Keeps the reports of a host that has restarted.
+  void keepReports(const PeerState &Former);
 
   PeerState Self;
   absl::flat_hash_map<uint32_t, Peer> Peers;
+  std::vector<RolloutReport> FormerReports;
 };
 
 } // namespace berylramp
--- a/include/berylramp/rollout.h
+++ b/include/berylramp/rollout.h
@@ -48,6 +48,17 @@
   AnswerTally Others;
   /// True when any host has found that the target is bad.
   bool Tripped = false;
+  /// The latest time of full traffic that a host planned, since the order; zero
+  /// when none did.
+  absl::Duration FullTrafficAt = absl::ZeroDuration();
+};
+
+/// The requests that a roll-out's service received since the order.
+struct RolloutTraffic {
+  int64_t Target = 0;
+  int64_t Total = 0;
+  /// Current rate of all requests.
+  double PerSecond = 0;
 };
 
 /// Operator-defined bounds on the requests that a bad version may receive.
@@ -73,9 +84,28 @@
 /// for a service with \p Replicas replicas of other versions.
 double canaryShare(const ExposureBounds &Bounds, size_t Replicas);
 
-/// The step of a roll-out that started \p Elapsed ago and whose canary share is
-/// \p Canary.
-RolloutStep nextRolloutStep(const RolloutOrder &Order, double Canary,
+/// When the target may receive all requests, as a time since the order: from
+/// then until the order's time limit, all requests fit into what \p Bounds
+/// allow the target, with a margin. \p Elapsed is the time since the order.
+absl::Duration fullTrafficTime(const RolloutOrder &Order,
+                               const ExposureBounds &Bounds, double Canary,
+                               const RolloutTraffic &Traffic,
+                               absl::Duration Elapsed);
+
+/// The times of a roll-out, since the order.
+struct RolloutSchedule {
+  /// Share of sessions, 0 to 1, that the target receives at first.
+  double Canary = 0;
+  /// When the target receives all requests; infinite until it is planned.
+  absl::Duration FullTrafficAt = absl::InfiniteDuration();
+};
+
+/// Time since the order from which on full traffic is planned.
+absl::Duration planningTime(const RolloutOrder &Order);
+
+/// The step of a roll-out that started \p Elapsed ago.
+RolloutStep nextRolloutStep(const RolloutOrder &Order,
+                            const RolloutSchedule &Schedule,
                             const RolloutEvidence &Evidence,
                             absl::Duration Elapsed);
 
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -10,6 +10,7 @@
 #include "rollout_controller.h"
 
 #include "absl/strings/str_cat.h"
+#include <algorithm>
 
 namespace berylramp {
 
@@ -20,6 +21,10 @@
 /// reads the state before it writes one.
 constexpr absl::Duration WriteDelayPerRank = absl::Milliseconds(400);
 
+/// The plan does not change in the last part before full traffic begins, in
+/// which it reaches the other hosts.
+constexpr absl::Duration PlanFreezeTime = absl::Seconds(1);
+constexpr absl::Duration RateInterval = absl::Seconds(2);
 constexpr absl::Duration EvidenceLogInterval = absl::Seconds(2);
 
 const char *stateName(RolloutState State) {
@@ -132,7 +137,7 @@
   absl::Duration Elapsed = this->Callbacks.Now() - Rollout.StartedAt;
   double Share = Rollout.State == RolloutState::Complete
                      ? 1
-                     : nextRolloutStep(Rollout.Order, Rollout.CanaryShare,
+                     : nextRolloutStep(Rollout.Order, Rollout.Schedule,
                                        Rollout.Evidence, Elapsed)
                            .Share;
   // If no replica has another version, the target serves all requests, whatever
@@ -158,14 +163,15 @@
   Instant OrderStart{this->Callbacks.Now().SinceStart - Elapsed};
   if (OrderStart < Rollout.StartedAt)
     Rollout.StartedAt = OrderStart;
-  if (Rollout.CanaryShare == 0) {
+  if (Rollout.Schedule.Canary == 0) {
     auto [Targets, Others] = this->Callbacks.CountReplicas(
         Rollout.Order.Service, Rollout.Order.Target);
-    Rollout.CanaryShare = canaryShare(this->Bounds, Others);
+    Rollout.Schedule.Canary = canaryShare(this->Bounds, Others);
   }
   Rollout.Evidence = Evidence;
+  this->plan(Rollout, Elapsed);
   RolloutStep Next =
-      nextRolloutStep(Rollout.Order, Rollout.CanaryShare, Evidence, Elapsed);
+      nextRolloutStep(Rollout.Order, Rollout.Schedule, Evidence, Elapsed);
   if (Next.State == RolloutState::Reverted && !Rollout.Tripped) {
     Rollout.Tripped = true;
     Json::Value Line = logFieldsOf(Rollout.Order);
@@ -177,6 +183,8 @@
     Json::Value Line = logFieldsOf(Rollout.Order);
     Line["share"] = Next.Share;
     Line["elapsed_ms"] = Json::Int64(absl::ToInt64Milliseconds(Elapsed));
+    Line["full_traffic_ms"] =
+        Json::Int64(absl::ToInt64Milliseconds(Rollout.Schedule.FullTrafficAt));
     Line["target_good"] = Json::Int64(Evidence.Target.Good);
     Line["target_bad"] = Json::Int64(Evidence.Target.Bad);
     logEvent(LogLevel::Info, "rollout_share", Line);
@@ -186,6 +194,43 @@
   this->requestState(Rollout, Next.State);
 }
 
+RolloutTraffic RolloutController::trafficOf(Entry &Rollout,
+                                            absl::Duration Elapsed) {
+  const RolloutEvidence &Evidence = Rollout.Evidence;
+  RolloutTraffic Traffic;
+  Traffic.Target = Evidence.Target.total();
+  Traffic.Total = Evidence.Target.total() + Evidence.Others.total();
+  Instant Now = this->Callbacks.Now();
+  auto &[Current, Last] = Rollout.RateSamples;
+  if (Now - Current.first >= RateInterval) {
+    Last = Current;
+    Current = {Now, Traffic.Total};
+  }
+  // A burst that has just begun counts more than the mean since the order.
+  auto Rate = [](int64_t Count, absl::Duration Time) {
+    return static_cast<double>(Count) /
+           std::max(absl::ToDoubleSeconds(Time), 1.0);
+  };
+  Traffic.PerSecond =
+      std::max(Rate(Traffic.Total, Elapsed),
+               Rate(Traffic.Total - Last.second, Now - Last.first));
+  return Traffic;
+}
+
+void RolloutController::plan(Entry &Rollout, absl::Duration Elapsed) {
+  RolloutTraffic Traffic = this->trafficOf(Rollout, Elapsed);
+  absl::Duration &FullTrafficAt = Rollout.Schedule.FullTrafficAt;
+  bool HasPlan = FullTrafficAt < absl::InfiniteDuration();
+  absl::Duration Planned = Rollout.Evidence.FullTrafficAt;
+  bool Frozen = HasPlan && Elapsed + PlanFreezeTime > FullTrafficAt;
+  if (!Frozen && Elapsed >= planningTime(Rollout.Order))
+    Planned = std::max(Planned, fullTrafficTime(Rollout.Order, this->Bounds,
+                                                Rollout.Schedule.Canary,
+                                                Traffic, Elapsed));
+  if (Planned > absl::ZeroDuration())
+    FullTrafficAt = HasPlan ? std::max(FullTrafficAt, Planned) : Planned;
+}
+
 void RolloutController::logEvidence(Entry &Rollout, absl::Duration Elapsed) {
   Instant Now = this->Callbacks.Now();
   if (Now - Rollout.EvidenceLoggedAt < EvidenceLogInterval)
@@ -241,6 +286,9 @@
     Report.Tripped = Rollout.Tripped;
     Report.ElapsedMs =
         absl::ToInt64Milliseconds(this->Callbacks.Now() - Rollout.StartedAt);
+    if (Rollout.Schedule.FullTrafficAt < absl::InfiniteDuration())
+      Report.FullTrafficMs =
+          absl::ToInt64Milliseconds(Rollout.Schedule.FullTrafficAt);
     Reports.push_back(Report);
   }
   return Reports;
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -11,6 +11,7 @@
 
 #include "berylramp/edge.h"
 #include "berylramp/gossip.h"
+#include <array>
 
 namespace berylramp {
 
@@ -63,7 +64,10 @@
     /// The store lost the recorded state.
     bool NeedsRewrite = false;
     RolloutState State = RolloutState::InProgress;
-    double CanaryShare = 0;
+    RolloutSchedule Schedule;
+    /// Number of requests at the beginning of the current and of the last
+    /// interval in which their rate is measured.
+    std::array<std::pair<Instant, int64_t>, 2> RateSamples;
     double LoggedShare = 0;
     Instant EvidenceLoggedAt{-absl::InfiniteDuration()};
     /// All hosts' evidence at the last tick.
@@ -74,6 +78,10 @@
     bool WriteInFlight = false;
   };
   void advance(Entry &Rollout, const PeerTable &Peers);
+  /// Plans when the target receives all requests. Hosts adopt the latest plan,
+  /// so that a session does not reach hosts before and after that time.
+  void plan(Entry &Rollout, absl::Duration Elapsed);
+  RolloutTraffic trafficOf(Entry &Rollout, absl::Duration Elapsed);
   void requestState(Entry &Rollout, RolloutState State);
   /// Logs all hosts' evidence in regular intervals.
   void logEvidence(Entry &Rollout, absl::Duration Elapsed);
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// Version of the datagram layout; datagrams of other versions are ignored.
-constexpr int LayoutVersion = 2;
+constexpr int LayoutVersion = 3;
 /// Identifies a datagram with a work report.
 constexpr int WorkReportLayout = 101;
 /// Identifies a datagram with a report of a leaving replica.
@@ -39,7 +39,7 @@
   Writer.pack(Tally.FirstByteMs);
 }
 
-constexpr uint32_t ReportFields = 9;
+constexpr uint32_t ReportFields = 10;
 
 void packReport(Packer &Writer, const RolloutReport &Report) {
   Writer.pack_array(ReportFields);
@@ -48,6 +48,7 @@
   packTally(Writer, Report.Others);
   Writer.pack(Report.Tripped);
   Writer.pack(Report.ElapsedMs);
+  Writer.pack(Report.FullTrafficMs);
 }
 
 constexpr uint32_t StateFields = 9;
@@ -98,6 +99,7 @@
   Report.Others = unpackTally(Fields + 4);
   Report.Tripped = Fields[7].as<bool>();
   Report.ElapsedMs = Fields[8].as<int64_t>();
+  Report.FullTrafficMs = Fields[9].as<int64_t>();
   return Report;
 }
 
@@ -235,10 +237,22 @@
   Peer &Known = this->Peers[State.Ip];
   if (Known.State.Ip != 0 && !isNewer(State, Known.State))
     return;
+  if (Known.State.IncarnationId != State.IncarnationId)
+    this->keepReports(Known.State);
   Known.State = State;
   Known.LastSeen = Now;
 }
 
+void PeerTable::keepReports(const PeerState &Former) {
+  // Roll-outs that ended long ago are dropped first.
+  constexpr size_t MaxFormerReports = 256;
+  for (const RolloutReport &Report : Former.Rollouts) {
+    if (this->FormerReports.size() >= MaxFormerReports)
+      this->FormerReports.erase(this->FormerReports.begin());
+    this->FormerReports.push_back(Report);
+  }
+}
+
 void PeerTable::addAddress(uint32_t Ip, Instant Now) {
   if (Ip == this->Self.Ip || this->Peers.contains(Ip))
     return;
@@ -298,21 +312,24 @@
 RolloutEvidence PeerTable::evidence(uint64_t Order, Instant Now,
                                     absl::Duration &Elapsed) const {
   RolloutEvidence Evidence;
-  auto Add = [&](const PeerState &State) {
-    for (const RolloutReport &Report : State.Rollouts) {
+  auto Add = [&](const std::vector<RolloutReport> &Reports) {
+    for (const RolloutReport &Report : Reports) {
       if (Report.Order != Order)
         continue;
       Evidence.Target += Report.Target;
       Evidence.Others += Report.Others;
       Evidence.Tripped = Evidence.Tripped || Report.Tripped;
       Elapsed = std::max(Elapsed, absl::Milliseconds(Report.ElapsedMs));
+      Evidence.FullTrafficAt = std::max(
+          Evidence.FullTrafficAt, absl::Milliseconds(Report.FullTrafficMs));
     }
   };
-  Add(this->Self);
-  // Evidence of hosts that are not live stays valid, because its answers were
-  // served.
+  Add(this->Self.Rollouts);
+  // Evidence of hosts that are not live or have restarted stays valid, because
+  // its answers were served. A former report's elapsed time is a lower bound.
   for (const auto &[Ip, Record] : this->Peers)
-    Add(Record.State);
+    Add(Record.State.Rollouts);
+  Add(this->FormerReports);
   return Evidence;
 }
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -1,9 +1,10 @@
 //===- rollout.cpp - Roll-out steps and health checks ---------------------===//
 //
-// In the first half of the time limit the target receives a small constant
-// share, so that no session changes its version. A target that is still good
-// then receives all new requests, and the roll-out completes after the streams
-// of the old version have ended.
+// The target first receives a small constant share, so that no session changes
+// its version in the first half of the time limit. It receives all requests
+// only so late that everything it gets until the time limit stays within the
+// operators' bound: a fault may show at full traffic for the first time, or
+// after the roll-out is complete. Detection comes in addition.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,9 +17,11 @@
 namespace {
 
 /// Maximum fraction of the allowed share that the canary step uses. The
-/// remainder covers requests that a failing target receives before the failure
-/// is detected.
-constexpr double CanaryExposureFraction = 0.6;
+/// remainder is left for full traffic.
+constexpr double CanaryExposureFraction = 0.35;
+/// Fraction of the allowed requests that is planned for. The remainder covers
+/// requests in flight and changes of the rate.
+constexpr double PlannedExposureFraction = 0.85;
 /// Product of the canary share and the number of replicas. It yields a few
 /// requests per second at a load that fills half of the replicas' slots. Each
 /// session that is active when the roll-out starts may change its version with
@@ -37,10 +40,16 @@
 constexpr int64_t MinAnswersForLatency = 12;
 /// Minimum number of good answers before the target receives all requests.
 constexpr int64_t MinGoodAnswers = 8;
-/// Fractions of the order's time limit at which the target receives all
-/// requests and at which the roll-out is recorded as complete.
-constexpr double FullTrafficFraction = 0.52;
-constexpr double CompletionFraction = 0.86;
+/// Fraction of the order's time limit before which no session changes its
+/// version, and the one from which on full traffic is planned. All hosts learn
+/// of the plan in between.
+constexpr double FirstHalfFraction = 0.52;
+constexpr double PlanningFraction = 0.4;
+/// Time before the time limit at which the roll-out is recorded as complete. It
+/// suffices for a second host to write when the first one fails.
+constexpr absl::Duration CompletionLead = absl::Seconds(1);
+/// Minimum time of full traffic before completion.
+constexpr absl::Duration MinFullTrafficTime = absl::Milliseconds(500);
 
 double failureRate(const AnswerTally &Tally) {
   if (Tally.total() == 0)
@@ -81,16 +90,46 @@
   return std::min(Share, Bounds.Share * CanaryExposureFraction);
 }
 
-RolloutStep nextRolloutStep(const RolloutOrder &Order, double Canary,
+absl::Duration planningTime(const RolloutOrder &Order) {
+  return Order.TimeLimit * PlanningFraction;
+}
+
+absl::Duration fullTrafficTime(const RolloutOrder &Order,
+                               const ExposureBounds &Bounds, double Canary,
+                               const RolloutTraffic &Traffic,
+                               absl::Duration Elapsed) {
+  absl::Duration Earliest = Order.TimeLimit * FirstHalfFraction;
+  if (Traffic.PerSecond <= 0 || Canary >= 1)
+    return Earliest;
+  double Remaining = std::max(0.0, absl::ToDoubleSeconds(Order.TimeLimit) -
+                                       absl::ToDoubleSeconds(Elapsed));
+  double ExpectedTotal =
+      static_cast<double>(Traffic.Total) + Traffic.PerSecond * Remaining;
+  double Allowed =
+      PlannedExposureFraction *
+      (Bounds.Share * ExpectedTotal + static_cast<double>(Bounds.Slack));
+  // Until full traffic begins, the target receives the canary share; from then
+  // on it receives all.
+  double CanaryOnly = static_cast<double>(Traffic.Target) +
+                      Canary * Traffic.PerSecond * Remaining;
+  double FullSeconds =
+      (Allowed - CanaryOnly) / (Traffic.PerSecond * (1 - Canary));
+  FullSeconds = std::min(std::max(FullSeconds, 0.0), Remaining);
+  return std::max(Earliest, Order.TimeLimit - absl::Seconds(FullSeconds));
+}
+
+RolloutStep nextRolloutStep(const RolloutOrder &Order,
+                            const RolloutSchedule &Schedule,
                             const RolloutEvidence &Evidence,
                             absl::Duration Elapsed) {
   if (isTargetBad(Evidence))
     return {0, RolloutState::Reverted};
-  double ElapsedFraction = absl::FDivDuration(Elapsed, Order.TimeLimit);
-  if (ElapsedFraction < FullTrafficFraction ||
-      Evidence.Target.Good < MinGoodAnswers)
-    return {Canary, RolloutState::InProgress};
-  if (ElapsedFraction < CompletionFraction)
+  if (Elapsed < Schedule.FullTrafficAt || Evidence.Target.Good < MinGoodAnswers)
+    return {Schedule.Canary, RolloutState::InProgress};
+  absl::Duration CompleteAt =
+      std::max(Order.TimeLimit - CompletionLead,
+               Schedule.FullTrafficAt + MinFullTrafficTime);
+  if (Elapsed < CompleteAt)
     return {1, RolloutState::InProgress};
   return {1, RolloutState::Complete};
 }
