Judge a version by what is usual on each route

Callers saw a version kept although it failed 44 of 187 requests of a route that failed 1 of 161 before. Cause: its failures were compared with those of the other versions over all routes. Routes that fail on every version (here 0.2 of the answers) raise what is tolerated to 0.47, and a different mix of routes changes the mean time.

Change: each host keeps, by route, how often answers of the versions in service are bad and how long they take, also before an order exists. For each answer of the target it adds the tolerated rate of its route and the variance; a target is bad when the number of bad answers exceeds the sum by 2.5 standard deviations, or by 3 in one of eight strata of routes. An answer is counted once, and a break after its first event makes it bad instead of counting it twice. Reports stay of bounded size.

Tests: two of evidence by route; the older ones of isTargetBad state the same cases.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -229,6 +229,26 @@
   CascadeSettings Cascade;
 };
 
+/// Progress of an attempt that shows the quality of a version.
+enum class AnswerEvent {
+  /// The first byte of an answer without an error, or the first event.
+  FirstByte,
+  /// An error, or an answer that did not come or broke off.
+  Failure
+};
+
+struct AnswerObservation {
+  ServiceId Service;
+  VersionId Version;
+  /// Name of the request's route.
+  std::string Route;
+  AnswerEvent Event = AnswerEvent::FirstByte;
+  /// Time since the request was sent.
+  absl::Duration Time;
+  /// An event of the same attempt was observed before.
+  bool Counted = false;
+};
+
 /// Callbacks into the rest of the daemon.
 struct ExchangeHooks {
   /// The route table in force, or null before the first one has been read.
@@ -236,11 +256,9 @@
   /// The versions that a request may use. \p Draw is in [0, 1) and is the same
   /// for all requests of a session.
   std::function<VersionRule(const ServiceId &, double Draw)> VersionFor;
-  /// Records whether an answer of the version was good, with the time to its
-  /// first byte.
-  std::function<void(const ServiceId &, const VersionId &, bool Good,
-                     absl::Duration FirstByte)>
-      RecordOutcome;
+  /// Observes an attempt until it returns true, which means that the answer is
+  /// bad.
+  std::function<bool(const AnswerObservation &)> ObserveAnswer;
   /// True once this host drains and new requests must go to another host.
   std::function<bool()> RejectsNewRequests;
   /// Called when work was sent to a replica, to notify the other hosts that use
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -25,7 +25,7 @@
 struct RolloutReport {
   /// Hash of the order's service and target.
   uint64_t Order = 0;
-  AnswerTally Target;
+  StratifiedTally Target;
   AnswerTally Others;
   bool Tripped = false;
   /// Milliseconds since the host first received the order, or since the start
--- a/include/berylramp/rollout.h
+++ b/include/berylramp/rollout.h
@@ -11,8 +11,10 @@
 
 #include "absl/time/time.h"
 #include "berylramp/units.h"
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace berylramp {
 
@@ -26,25 +28,50 @@
   absl::Duration TimeLimit = absl::Seconds(30);
 };
 
-/// Counts of successful and failed answers of one version.
+/// Answers of one version. An answer is counted once, and is bad if it failed
+/// or was much slower than usual for its route.
 struct AnswerTally {
-  int64_t Good = 0;
+  int64_t Count = 0;
   int64_t Bad = 0;
-  /// Time to the first byte in milliseconds, summed over good answers.
-  int64_t FirstByteMs = 0;
-
-  int64_t total() const { return this->Good + this->Bad; }
-  AnswerTally &operator+=(const AnswerTally &Other) {
-    this->Good += Other.Good;
-    this->Bad += Other.Bad;
-    this->FirstByteMs += Other.FirstByteMs;
-    return *this;
-  }
+  /// Expected number of bad answers of a version that is tolerated, and the
+  /// variance of that number, in thousandths.
+  int64_t ToleratedMilli = 0;
+  int64_t VarianceMilli = 0;
+
+  AnswerTally &operator+=(const AnswerTally &Other);
+};
+
+/// Routes are divided into this many strata by a hash of their names, so that
+/// the size of a report does not depend on the number of routes.
+inline constexpr size_t StratumCount = 8;
+using StratifiedTally = std::array<AnswerTally, StratumCount>;
+
+size_t stratumOf(const std::string &Route);
+AnswerTally sumOf(const StratifiedTally &Strata);
+StratifiedTally &operator+=(StratifiedTally &Sum, const StratifiedTally &Other);
+
+/// Usual answers of a route, as a moving average over the versions that are not
+/// being rolled out. Holds before an order too.
+struct RouteBaseline {
+  /// Answers with decaying weights.
+  double Answers = 0;
+  double BadAnswers = 0;
+  /// Mean logarithm of the time to the first byte in milliseconds.
+  double LogFirstByteMs = 0;
+  double FirstByteSamples = 0;
 };
 
+void countAnswer(RouteBaseline &Usual);
+void countBadAnswer(RouteBaseline &Usual);
+void addFirstByte(RouteBaseline &Usual, absl::Duration Time);
+bool isSlowFirstByte(const RouteBaseline &Usual, absl::Duration Time);
+/// Counts an answer of the target of a roll-out on a route.
+void countTargetAnswer(AnswerTally &Tally, const RouteBaseline &Usual);
+
 /// Answer counts of a roll-out, summed over all hosts.
 struct RolloutEvidence {
-  AnswerTally Target;
+  /// Since the order.
+  StratifiedTally Target;
   AnswerTally Others;
   /// True when any host has found that the target is bad.
   bool Tripped = false;
@@ -76,8 +103,8 @@
   RolloutState State = RolloutState::InProgress;
 };
 
-/// True when \p Evidence shows that the target's failure rate or latency
-/// exceeds that of the other versions by more than the tolerance.
+/// True when the target has more bad answers than is tolerated, on all routes
+/// together or in one stratum.
 bool isTargetBad(const RolloutEvidence &Evidence);
 
 /// The share of sessions, 0 to 1, that the canary step routes to the target,
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -69,10 +69,8 @@
   Hooks.VersionFor = [this](const ServiceId &Service, double Draw) {
     return this->Rollouts->versionFor(Service, Draw);
   };
-  Hooks.RecordOutcome = [this](const ServiceId &Service,
-                               const VersionId &Version, bool Good,
-                               absl::Duration FirstByte) {
-    this->Rollouts->recordOutcome(Service, Version, Good, FirstByte);
+  Hooks.ObserveAnswer = [this](const AnswerObservation &Observation) {
+    return this->Rollouts->observe(Observation);
   };
   Hooks.RejectsNewRequests = [this] {
     return this->Leaving && this->Timer.now() - this->LeavingSince >
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -25,6 +25,8 @@
 /// which it reaches the other hosts.
 constexpr absl::Duration PlanFreezeTime = absl::Seconds(1);
 constexpr absl::Duration RateInterval = absl::Seconds(2);
+/// Baselines are dropped when routes that no longer exist fill the memory.
+constexpr size_t MaxBaselines = 4096;
 constexpr absl::Duration EvidenceLogInterval = absl::Seconds(2);
 
 const char *stateName(RolloutState State) {
@@ -46,13 +48,16 @@
   return Line;
 }
 
+void addTally(Json::Value &Line, const char *Name, const AnswerTally &Tally) {
+  Line[absl::StrCat(Name, "_answers")] = Json::Int64(Tally.Count);
+  Line[absl::StrCat(Name, "_bad")] = Json::Int64(Tally.Bad);
+}
+
 void addEvidence(Json::Value &Line, const RolloutEvidence &Evidence) {
-  Line["target_good"] = Json::Int64(Evidence.Target.Good);
-  Line["target_bad"] = Json::Int64(Evidence.Target.Bad);
-  Line["others_good"] = Json::Int64(Evidence.Others.Good);
-  Line["others_bad"] = Json::Int64(Evidence.Others.Bad);
-  Line["target_ms"] = Json::Int64(Evidence.Target.FirstByteMs);
-  Line["others_ms"] = Json::Int64(Evidence.Others.FirstByteMs);
+  AnswerTally Target = sumOf(Evidence.Target);
+  addTally(Line, "target", Target);
+  Line["target_tolerated"] = static_cast<double>(Target.ToleratedMilli) / 1000;
+  addTally(Line, "others", Evidence.Others);
 }
 
 } // namespace
@@ -97,26 +102,39 @@
   Rollout.State = State;
   Json::Value Line = logFieldsOf(Rollout.Order);
   Line["state"] = stateName(State);
-  Line["target_good"] = Json::Int64(Rollout.Target.Good);
-  Line["target_bad"] = Json::Int64(Rollout.Target.Bad);
+  addTally(Line, "target", sumOf(Rollout.Target));
   logEvent(LogLevel::Info, "rollout_recorded", Line);
 }
 
-void RolloutController::recordOutcome(const ServiceId &Service,
-                                      const VersionId &Version, bool Good,
-                                      absl::Duration FirstByte) {
-  auto Found = this->Entries.find(Service);
-  if (Found == this->Entries.end())
-    return;
-  Entry &Rollout = Found->second;
-  AnswerTally &Tally =
-      Version == Rollout.Order.Target ? Rollout.Target : Rollout.Others;
-  if (!Good) {
-    Tally.Bad += 1;
-    return;
+bool RolloutController::observe(const AnswerObservation &Observation) {
+  if (this->Baselines.size() >= MaxBaselines)
+    this->Baselines.clear();
+  RouteBaseline &Usual =
+      this->Baselines[{Observation.Service, Observation.Route}];
+  bool Failed = Observation.Event == AnswerEvent::Failure;
+  bool Bad = Failed || isSlowFirstByte(Usual, Observation.Time);
+  auto Found = this->Entries.find(Observation.Service);
+  Entry *Rollout = Found == this->Entries.end() ? nullptr : &Found->second;
+  bool IsTarget =
+      Rollout != nullptr && Observation.Version == Rollout->Order.Target;
+  if (IsTarget && Rollout->State != RolloutState::Complete) {
+    AnswerTally &Tally = Rollout->Target[stratumOf(Observation.Route)];
+    if (!Observation.Counted)
+      countTargetAnswer(Tally, Usual);
+    Tally.Bad += Bad ? 1 : 0;
+    return Bad;
   }
-  Tally.Good += 1;
-  Tally.FirstByteMs += absl::ToInt64Milliseconds(FirstByte);
+  if (!Observation.Counted)
+    countAnswer(Usual);
+  if (!Failed)
+    addFirstByte(Usual, Observation.Time);
+  if (Bad)
+    countBadAnswer(Usual);
+  if (Rollout != nullptr && !IsTarget) {
+    Rollout->Others.Count += Observation.Counted ? 0 : 1;
+    Rollout->Others.Bad += Bad ? 1 : 0;
+  }
+  return Bad;
 }
 
 VersionRule RolloutController::versionFor(const ServiceId &Service,
@@ -185,8 +203,7 @@
     Line["elapsed_ms"] = Json::Int64(absl::ToInt64Milliseconds(Elapsed));
     Line["full_traffic_ms"] =
         Json::Int64(absl::ToInt64Milliseconds(Rollout.Schedule.FullTrafficAt));
-    Line["target_good"] = Json::Int64(Evidence.Target.Good);
-    Line["target_bad"] = Json::Int64(Evidence.Target.Bad);
+    addEvidence(Line, Evidence);
     logEvent(LogLevel::Info, "rollout_share", Line);
   }
   Rollout.LoggedShare = Next.Share;
@@ -198,8 +215,8 @@
                                             absl::Duration Elapsed) {
   const RolloutEvidence &Evidence = Rollout.Evidence;
   RolloutTraffic Traffic;
-  Traffic.Target = Evidence.Target.total();
-  Traffic.Total = Evidence.Target.total() + Evidence.Others.total();
+  Traffic.Target = sumOf(Evidence.Target).Count;
+  Traffic.Total = Traffic.Target + Evidence.Others.Count;
   Instant Now = this->Callbacks.Now();
   auto &[Current, Last] = Rollout.RateSamples;
   if (Now - Current.first >= RateInterval) {
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -42,8 +42,8 @@
                         std::optional<RolloutState> Stored);
   void onStateRecorded(const ServiceId &Service, const VersionId &Target,
                        RolloutState State);
-  void recordOutcome(const ServiceId &Service, const VersionId &Version,
-                     bool Good, absl::Duration FirstByte);
+  /// Counts an answer as evidence or as usual; returns whether it is bad.
+  bool observe(const AnswerObservation &Observation);
   VersionRule versionFor(const ServiceId &Service, double Draw) const;
   /// Advances each roll-out in progress by all hosts' evidence.
   void tick(const PeerTable &Peers);
@@ -57,7 +57,7 @@
     RolloutOrder Order;
     uint64_t Id = 0;
     Instant StartedAt;
-    AnswerTally Target;
+    StratifiedTally Target;
     AnswerTally Others;
     bool Tripped = false;
     bool Recorded = false;
@@ -89,6 +89,8 @@
   ExposureBounds Bounds;
   Ports Callbacks;
   std::map<ServiceId, Entry> Entries;
+  /// By service and route.
+  std::map<std::pair<ServiceId, std::string>, RouteBaseline> Baselines;
 };
 
 } // namespace berylramp
--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -103,7 +103,8 @@
   bool AwaitingConnect = false;
   bool FirstByteReceived = false;
   bool IsStreaming = false;
-  bool OutcomeRecorded = false;
+  bool Observed = false;
+  bool IsBad = false;
   HttpHead Head;
   /// The body received so far; the counter of all such bytes is lowered when
   /// the attempt ends.
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -75,7 +75,7 @@
   /// Gives up an answer that exceeds \p Limit bytes.
   void rejectOversized(Attempt &Source, const char *Part, size_t Limit);
   void armDeadline();
-  void recordOutcome(const Attempt &Evaluated, bool Good);
+  void observe(Attempt &Source, AnswerEvent Event);
   Instant now() const { return this->Core.Timer.now(); }
 
   std::shared_ptr<void> CoreOwner;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -60,7 +60,7 @@
   }
   if (Success && this->shouldEscalate(Head)) {
     this->Core.Counters.count(Counter::Escalations);
-    this->recordOutcome(Source, true);
+    this->observe(Source, AnswerEvent::FirstByte);
     this->endAttempt(Outcome::Neutral);
     this->ModelIndex = nextModel(this->Cascade, this->ModelIndex);
     this->TriedReplicas.clear();
@@ -196,7 +196,7 @@
     this->FirstEventDelay = this->now() - this->Request.ArrivedAt;
     this->Core.Counters.observe(Latency::FirstToken,
                                 this->now() - this->Request.ArrivedAt);
-    this->recordOutcome(Source, true);
+    this->observe(Source, AnswerEvent::FirstByte);
     this->CallerResponder->beginStream(relayedHead(Source.Head));
   }
   this->CallerResponder->sendChunk(std::move(EventBytes));
@@ -226,7 +226,7 @@
 
 void Relay::forwardAnswer(Attempt &Source) {
   bool Good = Source.Head.Status < 500;
-  this->recordOutcome(Source, Good);
+  this->observe(Source, Good ? AnswerEvent::FirstByte : AnswerEvent::Failure);
   if (!Good && this->MatchedRoute->Repeats != Repeatability::AtMostOnce &&
       this->mayRetry()) {
     this->onAttemptFailed(Source, RetryReason::UpstreamRefused, Outcome::Failed,
@@ -279,7 +279,7 @@
   logEvent(LogLevel::Info, "attempt_failed", Line);
   this->Core.Counters.countRetry(Reason);
   if (Sent)
-    this->recordOutcome(Source, false);
+    this->observe(Source, AnswerEvent::Failure);
   this->endAttempt(Result);
   if (!Sent) {
     this->Execution.markNotSent();
@@ -288,14 +288,18 @@
   this->startNextAttempt();
 }
 
-void Relay::recordOutcome(const Attempt &Evaluated, bool Good) {
-  auto &MutableAttempt = const_cast<Attempt &>(Evaluated);
-  if (MutableAttempt.OutcomeRecorded && Good)
+void Relay::observe(Attempt &Source, AnswerEvent Event) {
+  if (Source.IsBad)
     return;
-  MutableAttempt.OutcomeRecorded = true;
-  this->Core.Hooks.RecordOutcome(this->Service,
-                                 Evaluated.TargetReplica->Entry.Version, Good,
-                                 this->now() - Evaluated.SentAt);
+  AnswerObservation Observation;
+  Observation.Service = this->Service;
+  Observation.Version = Source.TargetReplica->Entry.Version;
+  Observation.Route = this->MatchedRoute->Name;
+  Observation.Event = Event;
+  Observation.Time = this->now() - Source.SentAt;
+  Observation.Counted = Source.Observed;
+  Source.Observed = true;
+  Source.IsBad = this->Core.Hooks.ObserveAnswer(Observation);
 }
 
 void Relay::endAttempt(Outcome Result) {
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -33,18 +33,35 @@
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
+constexpr uint32_t TallyFields = 4;
+constexpr uint32_t StratumFields = TallyFields + 1;
+
 void packTally(Packer &Writer, const AnswerTally &Tally) {
-  Writer.pack(Tally.Good);
+  Writer.pack(Tally.Count);
   Writer.pack(Tally.Bad);
-  Writer.pack(Tally.FirstByteMs);
+  Writer.pack(Tally.ToleratedMilli);
+  Writer.pack(Tally.VarianceMilli);
+}
+
+void packStrata(Packer &Writer, const StratifiedTally &Strata) {
+  auto IsUsed = [](const AnswerTally &Tally) { return Tally.Count > 0; };
+  Writer.pack_array(static_cast<uint32_t>(
+      std::count_if(Strata.begin(), Strata.end(), IsUsed)));
+  for (size_t Index = 0; Index < StratumCount; ++Index) {
+    if (!IsUsed(Strata[Index]))
+      continue;
+    Writer.pack_array(StratumFields);
+    Writer.pack(Index);
+    packTally(Writer, Strata[Index]);
+  }
 }
 
-constexpr uint32_t ReportFields = 10;
+constexpr uint32_t ReportFields = 9;
 
 void packReport(Packer &Writer, const RolloutReport &Report) {
   Writer.pack_array(ReportFields);
   Writer.pack(Report.Order);
-  packTally(Writer, Report.Target);
+  packStrata(Writer, Report.Target);
   packTally(Writer, Report.Others);
   Writer.pack(Report.Tripped);
   Writer.pack(Report.ElapsedMs);
@@ -88,18 +105,33 @@
 
 AnswerTally unpackTally(const msgpack::object *Fields) {
   return {Fields[0].as<int64_t>(), Fields[1].as<int64_t>(),
-          Fields[2].as<int64_t>()};
+          Fields[2].as<int64_t>(), Fields[3].as<int64_t>()};
+}
+
+StratifiedTally unpackStrata(const msgpack::object &Value) {
+  if (Value.type != msgpack::type::ARRAY)
+    throw msgpack::type_error();
+  StratifiedTally Strata;
+  for (uint32_t Position = 0; Position < Value.via.array.size; ++Position) {
+    const msgpack::object *Fields =
+        arrayFields(Value.via.array.ptr[Position], StratumFields);
+    auto Index = Fields[0].as<size_t>();
+    if (Index >= StratumCount)
+      throw msgpack::type_error();
+    Strata[Index] = unpackTally(Fields + 1);
+  }
+  return Strata;
 }
 
 RolloutReport unpackReport(const msgpack::object &Value) {
   const msgpack::object *Fields = arrayFields(Value, ReportFields);
   RolloutReport Report;
   Report.Order = Fields[0].as<uint64_t>();
-  Report.Target = unpackTally(Fields + 1);
-  Report.Others = unpackTally(Fields + 4);
-  Report.Tripped = Fields[7].as<bool>();
-  Report.ElapsedMs = Fields[8].as<int64_t>();
-  Report.FullTrafficMs = Fields[9].as<int64_t>();
+  Report.Target = unpackStrata(Fields[1]);
+  Report.Others = unpackTally(Fields + 2);
+  Report.Tripped = Fields[6].as<bool>();
+  Report.ElapsedMs = Fields[7].as<int64_t>();
+  Report.FullTrafficMs = Fields[8].as<int64_t>();
   return Report;
 }
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -11,6 +11,7 @@
 #include "berylramp/rollout.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace berylramp {
 
@@ -30,14 +31,24 @@
 /// Minimum number of bad answers before a version is evaluated. Fewer can be
 /// noise from single replicas.
 constexpr int64_t MinBadAnswers = 4;
-/// A target is bad when its failure rate exceeds that of the other versions
-/// times this factor plus this margin.
-constexpr double FailureRateFactor = 2.0;
-constexpr double FailureRateMargin = 0.07;
-/// A target is slow when its mean time to the first byte exceeds that of the
-/// other versions by this factor.
+/// A version is tolerated whose rate of bad answers on a route is that of the
+/// other versions times this factor plus this margin.
+constexpr double BadRateFactor = 1.5;
+constexpr double BadRateMargin = 0.03;
+/// Standard deviations by which the number of bad answers must exceed the
+/// tolerated one, for all routes together and for one of several strata.
+constexpr double DeviationsOfAll = 2.5;
+constexpr double DeviationsOfStratum = 3.0;
+/// An answer is slow when its first byte takes this many times as long as usual
+/// and longer by this margin, below which network latency dominates.
 constexpr double SlowdownFactor = 3.0;
-constexpr int64_t MinAnswersForLatency = 12;
+constexpr absl::Duration SlowdownMargin = absl::Milliseconds(20);
+/// Number of answers that a baseline averages over.
+constexpr double BaselineAnswers = 60;
+constexpr double MinFirstByteSamples = 5;
+/// Weight and bad rate of the assumption about a route without answers.
+constexpr double PriorAnswers = 3;
+constexpr double PriorBadRate = 0.1;
 /// Minimum number of good answers before the target receives all requests.
 constexpr int64_t MinGoodAnswers = 8;
 /// Fraction of the order's time limit before which no session changes its
@@ -51,37 +62,93 @@
 /// Minimum time of full traffic before completion.
 constexpr absl::Duration MinFullTrafficTime = absl::Milliseconds(500);
 
-double failureRate(const AnswerTally &Tally) {
-  if (Tally.total() == 0)
-    return 0;
-  return static_cast<double>(Tally.Bad) / static_cast<double>(Tally.total());
+double toleratedBadRate(const RouteBaseline &Usual) {
+  double Rate = (Usual.BadAnswers + PriorBadRate * PriorAnswers) /
+                (Usual.Answers + PriorAnswers);
+  return std::min(1.0, BadRateFactor * Rate + BadRateMargin);
 }
 
-double meanFirstByteMs(const AnswerTally &Tally) {
-  return static_cast<double>(Tally.FirstByteMs) /
-         static_cast<double>(std::max<int64_t>(Tally.Good, 1));
+int64_t toMilli(double Value) {
+  return static_cast<int64_t>(std::lround(Value * 1000));
 }
 
-bool isSlow(const RolloutEvidence &Evidence) {
-  if (Evidence.Target.Good < MinAnswersForLatency ||
-      Evidence.Others.Good < MinAnswersForLatency)
+bool exceedsTolerance(const AnswerTally &Tally, double Deviations) {
+  if (Tally.Bad < MinBadAnswers)
     return false;
-  return meanFirstByteMs(Evidence.Target) >
-         SlowdownFactor * meanFirstByteMs(Evidence.Others);
+  double Tolerated = static_cast<double>(Tally.ToleratedMilli) / 1000;
+  double Variance = static_cast<double>(Tally.VarianceMilli) / 1000;
+  return static_cast<double>(Tally.Bad) >
+         Tolerated + Deviations * std::sqrt(Variance) + 1;
 }
 
 } // namespace
 
+AnswerTally &AnswerTally::operator+=(const AnswerTally &Other) {
+  this->Count += Other.Count;
+  this->Bad += Other.Bad;
+  this->ToleratedMilli += Other.ToleratedMilli;
+  this->VarianceMilli += Other.VarianceMilli;
+  return *this;
+}
+
+size_t stratumOf(const std::string &Route) {
+  return stableHash(Route) % StratumCount;
+}
+
+AnswerTally sumOf(const StratifiedTally &Strata) {
+  AnswerTally Sum;
+  for (const AnswerTally &Tally : Strata)
+    Sum += Tally;
+  return Sum;
+}
+
+StratifiedTally &operator+=(StratifiedTally &Sum,
+                            const StratifiedTally &Other) {
+  for (size_t Index = 0; Index < StratumCount; ++Index)
+    Sum[Index] += Other[Index];
+  return Sum;
+}
+
+void countAnswer(RouteBaseline &Usual) {
+  double Kept = 1 - 1 / BaselineAnswers;
+  Usual.Answers = Usual.Answers * Kept + 1;
+  Usual.BadAnswers *= Kept;
+}
+
+void countBadAnswer(RouteBaseline &Usual) { Usual.BadAnswers += 1; }
+
+void addFirstByte(RouteBaseline &Usual, absl::Duration Time) {
+  Usual.FirstByteSamples =
+      std::min(Usual.FirstByteSamples + 1, BaselineAnswers);
+  double Sample = std::log(std::max(1.0, absl::ToDoubleMilliseconds(Time)));
+  Usual.LogFirstByteMs +=
+      (Sample - Usual.LogFirstByteMs) / Usual.FirstByteSamples;
+}
+
+bool isSlowFirstByte(const RouteBaseline &Usual, absl::Duration Time) {
+  if (Usual.FirstByteSamples < MinFirstByteSamples)
+    return false;
+  absl::Duration Typical = absl::Milliseconds(std::exp(Usual.LogFirstByteMs));
+  return Time > Typical * SlowdownFactor + SlowdownMargin;
+}
+
+// The tolerance of each answer depends on its route alone, so that a different
+// mix of routes does not make a version look better or worse.
+void countTargetAnswer(AnswerTally &Tally, const RouteBaseline &Usual) {
+  double Rate = toleratedBadRate(Usual);
+  Tally.Count += 1;
+  Tally.ToleratedMilli += toMilli(Rate);
+  Tally.VarianceMilli += toMilli(Rate * (1 - Rate));
+}
+
 bool isTargetBad(const RolloutEvidence &Evidence) {
-  if (Evidence.Tripped)
+  if (Evidence.Tripped ||
+      exceedsTolerance(sumOf(Evidence.Target), DeviationsOfAll))
     return true;
-  if (isSlow(Evidence))
-    return true;
-  if (Evidence.Target.Bad < MinBadAnswers)
-    return false;
-  double MaxFailureRate =
-      FailureRateFactor * failureRate(Evidence.Others) + FailureRateMargin;
-  return failureRate(Evidence.Target) > MaxFailureRate;
+  return std::any_of(Evidence.Target.begin(), Evidence.Target.end(),
+                     [](const AnswerTally &Stratum) {
+                       return exceedsTolerance(Stratum, DeviationsOfStratum);
+                     });
 }
 
 double canaryShare(const ExposureBounds &Bounds, size_t Replicas) {
@@ -124,7 +191,9 @@
                             absl::Duration Elapsed) {
   if (isTargetBad(Evidence))
     return {0, RolloutState::Reverted};
-  if (Elapsed < Schedule.FullTrafficAt || Evidence.Target.Good < MinGoodAnswers)
+  AnswerTally Target = sumOf(Evidence.Target);
+  if (Elapsed < Schedule.FullTrafficAt ||
+      Target.Count - Target.Bad < MinGoodAnswers)
     return {Schedule.Canary, RolloutState::InProgress};
   absl::Duration CompleteAt =
       std::max(Order.TimeLimit - CompletionLead,
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -311,9 +311,14 @@
   }
 
   void recordOutcomes(const char *Version, bool Good, int Count) {
+    AnswerObservation Observation;
+    Observation.Service = this->Service;
+    Observation.Version = VersionId(Version);
+    Observation.Route = "route";
+    Observation.Event = Good ? AnswerEvent::FirstByte : AnswerEvent::Failure;
+    Observation.Time = absl::Milliseconds(100);
     for (int Index = 0; Index < Count; ++Index)
-      this->Controller.recordOutcome(Service, VersionId(Version), Good,
-                                     absl::Milliseconds(100));
+      this->Controller.observe(Observation);
   }
 
   const ServiceId Service{"s"};
@@ -473,8 +478,8 @@
   RolloutReport Report = this->Controller.reports()[0];
   Report.ElapsedMs = 19500;
   Report.FullTrafficMs = 18500;
-  Report.Target = {50, 0, 5000};
-  Report.Others = {500, 0, 50000};
+  Report.Target[0] = {50, 0, 2500, 2400};
+  Report.Others = {500, 0};
   Other.Rollouts = {Report};
   PeerTable Sender(Other);
   REQUIRE(this->Peers.merge(Sender.encode(Instant{absl::Seconds(10)}),
--- a/test/gossip_test.cpp
+++ b/test/gossip_test.cpp
@@ -80,23 +80,45 @@
   PeerState One = makeState(1);
   RolloutReport Report;
   Report.Order = 7;
-  Report.Target = {3, 2, 300};
+  Report.Target[2] = {5, 2, 300, 200};
   Report.ElapsedMs = 4000;
   One.Rollouts = {Report};
   PeerTable A(One);
   PeerState Two = makeState(2);
-  Report.Target = {1, 1, 100};
+  Report.Target[2] = {2, 1, 100, 50};
   Report.ElapsedMs = 100;
   Two.Rollouts = {Report};
   PeerTable B(Two);
   REQUIRE(B.merge(A.encode(atSecond(0)), atSecond(0)));
   absl::Duration Elapsed;
   RolloutEvidence Evidence = B.evidence(7, atSecond(0), Elapsed);
-  CHECK(Evidence.Target.Good == 4);
-  CHECK(Evidence.Target.Bad == 3);
+  CHECK(Evidence.Target[2].Count == 7);
+  CHECK(Evidence.Target[2].Bad == 3);
+  CHECK(Evidence.Target[2].ToleratedMilli == 400);
+  CHECK(Evidence.Target[2].VarianceMilli == 250);
+  CHECK(sumOf(Evidence.Target).Count == 7);
   CHECK(Elapsed == absl::Milliseconds(4000));
 }
 
+TEST_CASE("Roll-out evidence of a host outlives its restart") {
+  PeerTable Receiver(makeState(2));
+  RolloutReport Report;
+  Report.Order = 7;
+  Report.Target[0] = {5, 2, 300, 200};
+  PeerState Former = makeState(1);
+  Former.Rollouts = {Report};
+  REQUIRE(Receiver.merge(PeerTable(Former).encode(atSecond(0)), atSecond(0)));
+  PeerState Restarted = makeState(1);
+  Restarted.IncarnationId = Incarnation(Former.IncarnationId.count() + 1);
+  Report.Target[0] = {1, 0, 30, 20};
+  Restarted.Rollouts = {Report};
+  REQUIRE(
+      Receiver.merge(PeerTable(Restarted).encode(atSecond(1)), atSecond(1)));
+  absl::Duration Elapsed;
+  CHECK(Receiver.evidence(7, atSecond(1), Elapsed).Target[0].Count == 6);
+  CHECK(Receiver.evidence(7, atSecond(1), Elapsed).Target[0].Bad == 2);
+}
+
 TEST_CASE("Malformed datagrams change nothing") {
   rc::prop("for any bytes", [] {
     PeerTable Peers(makeState(1));
--- a/test/rollout_exposure_test.cpp
+++ b/test/rollout_exposure_test.cpp
@@ -234,8 +234,14 @@
       if (this->BadTargetAnswers == BadAnswersBeforeRollback)
         this->Result.FiftiethBadAt = this->Now;
     }
-    Received.Receiver->Controller->recordOutcome(Service, Received.Version,
-                                                 Received.Good, AnswerTime);
+    AnswerObservation Observation;
+    Observation.Service = Service;
+    Observation.Version = Received.Version;
+    Observation.Route = Received.Kind->Route;
+    Observation.Event =
+        Received.Good ? AnswerEvent::FirstByte : AnswerEvent::Failure;
+    Observation.Time = AnswerTime;
+    Received.Receiver->Controller->observe(Observation);
   }
 
   std::vector<RequestKind> Kinds;
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -12,10 +12,31 @@
 const RolloutOrder Order{ServiceId("s"), VersionId("v2"), absl::Seconds(20)};
 const ExposureBounds Bounds{0.15, 30};
 
-RolloutEvidence makeEvidence(AnswerTally Target, AnswerTally Others) {
+/// A route whose answers are bad at the given rate on the other versions.
+RouteBaseline makeBaseline(double BadRate) {
+  RouteBaseline Usual;
+  double Due = 0;
+  for (int Count = 0; Count < 500; ++Count) {
+    countAnswer(Usual);
+    addFirstByte(Usual, absl::Milliseconds(150));
+    Due += BadRate;
+    if (Due >= 1) {
+      countBadAnswer(Usual);
+      Due -= 1;
+    }
+  }
+  return Usual;
+}
+
+/// Evidence of a target on a route that is bad at \p UsualBadRate elsewhere.
+RolloutEvidence makeEvidence(int64_t Good, int64_t Bad,
+                             double UsualBadRate = 0.01) {
+  RouteBaseline Usual = makeBaseline(UsualBadRate);
   RolloutEvidence Evidence;
-  Evidence.Target = Target;
-  Evidence.Others = Others;
+  for (int64_t Count = 0; Count < Good + Bad; ++Count)
+    countTargetAnswer(Evidence.Target[0], Usual);
+  Evidence.Target[0].Bad = Bad;
+  Evidence.Others = {900, 9};
   return Evidence;
 }
 
@@ -33,8 +54,7 @@
 TEST_CASE("The share is constant in the first half") {
   rc::prop("for good evidence", [] {
     int64_t Good = *rc::gen::inRange(0, 5000);
-    auto Evidence =
-        makeEvidence({Good, 0, Good * 100}, {Good * 9, 0, Good * 900});
+    auto Evidence = makeEvidence(Good, 0);
     auto Elapsed = absl::Milliseconds(*rc::gen::inRange(0, 10000));
     RolloutTraffic Traffic{Good, Good * 10, static_cast<double>(Good)};
     RolloutSchedule Schedule{
@@ -70,7 +90,7 @@
 }
 
 TEST_CASE("A good target gets all requests and completes in time") {
-  auto Evidence = makeEvidence({50, 0, 5000}, {900, 2, 90000});
+  auto Evidence = makeEvidence(50, 0);
   RolloutTraffic Traffic{50, 950, 950 / 16.0};
   absl::Duration FullAt =
       fullTrafficTime(Order, Bounds, 0.05, Traffic, absl::Seconds(16));
@@ -84,38 +104,57 @@
 }
 
 TEST_CASE("Without a plan the target keeps its canary share") {
-  auto Evidence = makeEvidence({50, 0, 5000}, {900, 2, 90000});
+  auto Evidence = makeEvidence(50, 0);
   CHECK(nextRolloutStep(Order, {0.05}, Evidence, absl::Seconds(19)).Share ==
         0.05);
 }
 
 TEST_CASE("A target without evidence keeps its canary share") {
-  auto Evidence = makeEvidence({}, {900, 2, 90000});
+  auto Evidence = makeEvidence(0, 0);
   RolloutSchedule Schedule{0.05, absl::Seconds(17)};
   CHECK(nextRolloutStep(Order, Schedule, Evidence, absl::Seconds(19)).Share ==
         0.05);
 }
 
 TEST_CASE("Failures of the target alone revert it") {
-  CHECK(isTargetBad(makeEvidence({6, 4, 600}, {500, 5, 50000})));
-  CHECK(nextRolloutStep(Order, {0.05},
-                        makeEvidence({6, 4, 600}, {500, 5, 50000}),
-                        absl::Seconds(3))
+  CHECK(isTargetBad(makeEvidence(6, 4)));
+  CHECK(nextRolloutStep(Order, {0.05}, makeEvidence(6, 4), absl::Seconds(3))
             .State == RolloutState::Reverted);
 }
 
 TEST_CASE("Failures of all versions do not revert the target") {
-  CHECK_FALSE(isTargetBad(makeEvidence({60, 30, 600}, {500, 250, 50000})));
+  CHECK_FALSE(isTargetBad(makeEvidence(60, 30, 0.33)));
 }
 
 TEST_CASE("Three failures alone do not revert the target") {
-  CHECK_FALSE(isTargetBad(makeEvidence({0, 3, 0}, {500, 0, 50000})));
+  CHECK_FALSE(isTargetBad(makeEvidence(0, 3, 0)));
+}
+
+TEST_CASE("An answer is slow if it takes several times as long as usual") {
+  RouteBaseline Usual = makeBaseline(0);
+  CHECK(isSlowFirstByte(Usual, absl::Milliseconds(900)));
+  CHECK_FALSE(isSlowFirstByte(Usual, absl::Milliseconds(300)));
+  CHECK_FALSE(isSlowFirstByte(RouteBaseline(), absl::Milliseconds(900)));
+}
+
+TEST_CASE("A fault on one route is not hidden by good answers of others") {
+  RolloutEvidence Evidence = makeEvidence(400, 0);
+  RouteBaseline Usual = makeBaseline(0);
+  for (int Count = 0; Count < 20; ++Count)
+    countTargetAnswer(Evidence.Target[1], Usual);
+  CHECK_FALSE(isTargetBad(Evidence));
+  Evidence.Target[1].Bad = 8;
+  CHECK(isTargetBad(Evidence));
 }
 
-TEST_CASE("A target that is slow where others are not is reverted") {
-  CHECK(isTargetBad(makeEvidence({20, 0, 20 * 900}, {500, 0, 500 * 150})));
-  CHECK_FALSE(
-      isTargetBad(makeEvidence({20, 0, 20 * 300}, {500, 0, 500 * 150})));
+TEST_CASE("A route that fails on every version does not hide a fault") {
+  RolloutEvidence Evidence = makeEvidence(0, 100, 1);
+  RouteBaseline Usual = makeBaseline(0);
+  for (int Count = 0; Count < 50; ++Count)
+    countTargetAnswer(Evidence.Target[1], Usual);
+  CHECK_FALSE(isTargetBad(Evidence));
+  Evidence.Target[1].Bad = 12;
+  CHECK(isTargetBad(Evidence));
 }
 
 TEST_CASE("A tripped target gets no requests at any time") {
