Judge a version by its last seconds too

Cause: the evidence was summed since the order, so that a version which turns bad after many good answers needs as many bad ones to be seen. Change: the increase of the last 3 s is judged in addition. Evidence since the order stays, for rare faults.

--- a/include/berylramp/rollout.h
+++ b/include/berylramp/rollout.h
@@ -49,6 +49,10 @@
 size_t stratumOf(const std::string &Route);
 AnswerTally sumOf(const StratifiedTally &Strata);
 StratifiedTally &operator+=(StratifiedTally &Sum, const StratifiedTally &Other);
+/// The increase from \p Before to \p Now. Counts that fell, because the reports
+/// of a host are missing, have none.
+StratifiedTally increase(const StratifiedTally &Before,
+                         const StratifiedTally &Now);
 
 /// Usual answers of a route, as a moving average over the versions that are not
 /// being rolled out. Holds before an order too.
@@ -72,6 +76,8 @@
 struct RolloutEvidence {
   /// Since the order.
   StratifiedTally Target;
+  /// In the last seconds.
+  StratifiedTally Recent;
   AnswerTally Others;
   /// True when any host has found that the target is bad.
   bool Tripped = false;
@@ -103,8 +109,8 @@
   RolloutState State = RolloutState::InProgress;
 };
 
-/// True when the target has more bad answers than is tolerated, on all routes
-/// together or in one stratum.
+/// True when the target has more bad answers than is tolerated, since the order
+/// or recently, on all routes together or in one stratum.
 bool isTargetBad(const RolloutEvidence &Evidence);
 
 /// The share of sessions, 0 to 1, that the canary step routes to the target,
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -24,6 +24,8 @@
 /// The plan does not change in the last part before full traffic begins, in
 /// which it reaches the other hosts.
 constexpr absl::Duration PlanFreezeTime = absl::Seconds(1);
+/// Length of the window of recent evidence.
+constexpr absl::Duration RecentWindow = absl::Seconds(3);
 constexpr absl::Duration RateInterval = absl::Seconds(2);
 /// Baselines are dropped when routes that no longer exist fill the memory.
 constexpr size_t MaxBaselines = 4096;
@@ -57,6 +59,7 @@
   AnswerTally Target = sumOf(Evidence.Target);
   addTally(Line, "target", Target);
   Line["target_tolerated"] = static_cast<double>(Target.ToleratedMilli) / 1000;
+  addTally(Line, "recent", sumOf(Evidence.Recent));
   addTally(Line, "others", Evidence.Others);
 }
 
@@ -186,6 +189,8 @@
         Rollout.Order.Service, Rollout.Order.Target);
     Rollout.Schedule.Canary = canaryShare(this->Bounds, Others);
   }
+  Evidence.Recent =
+      recentEvidence(Rollout, Evidence.Target, this->Callbacks.Now());
   Rollout.Evidence = Evidence;
   this->plan(Rollout, Elapsed);
   RolloutStep Next =
@@ -211,6 +216,15 @@
   this->requestState(Rollout, Next.State);
 }
 
+StratifiedTally RolloutController::recentEvidence(Entry &Rollout,
+                                                  const StratifiedTally &Sum,
+                                                  Instant Now) {
+  Rollout.History.emplace_back(Now, Sum);
+  while (Now - Rollout.History.front().first > RecentWindow)
+    Rollout.History.pop_front();
+  return increase(Rollout.History.front().second, Sum);
+}
+
 RolloutTraffic RolloutController::trafficOf(Entry &Rollout,
                                             absl::Duration Elapsed) {
   const RolloutEvidence &Evidence = Rollout.Evidence;
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -12,6 +12,7 @@
 #include "berylramp/edge.h"
 #include "berylramp/gossip.h"
 #include <array>
+#include <deque>
 
 namespace berylramp {
 
@@ -72,6 +73,8 @@
     Instant EvidenceLoggedAt{-absl::InfiniteDuration()};
     /// All hosts' evidence at the last tick.
     RolloutEvidence Evidence;
+    /// All hosts' evidence on the target at the last ticks.
+    std::deque<std::pair<Instant, StratifiedTally>> History;
     /// The state that this host will write, and since when.
     RolloutState PendingState = RolloutState::InProgress;
     Instant PendingSince;
@@ -83,6 +86,8 @@
   void plan(Entry &Rollout, absl::Duration Elapsed);
   RolloutTraffic trafficOf(Entry &Rollout, absl::Duration Elapsed);
   void requestState(Entry &Rollout, RolloutState State);
+  static StratifiedTally
+  recentEvidence(Entry &Rollout, const StratifiedTally &Sum, Instant Now);
   /// Logs all hosts' evidence in regular intervals.
   void logEvidence(Entry &Rollout, absl::Duration Elapsed);
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -102,6 +102,19 @@
   return Sum;
 }
 
+namespace {
+
+bool exceedsTolerance(const StratifiedTally &Strata) {
+  if (exceedsTolerance(sumOf(Strata), DeviationsOfAll))
+    return true;
+  return std::any_of(Strata.begin(), Strata.end(),
+                     [](const AnswerTally &Stratum) {
+                       return exceedsTolerance(Stratum, DeviationsOfStratum);
+                     });
+}
+
+} // namespace
+
 StratifiedTally &operator+=(StratifiedTally &Sum,
                             const StratifiedTally &Other) {
   for (size_t Index = 0; Index < StratumCount; ++Index)
@@ -141,14 +154,28 @@
   Tally.VarianceMilli += toMilli(Rate * (1 - Rate));
 }
 
+StratifiedTally increase(const StratifiedTally &Before,
+                         const StratifiedTally &Now) {
+  auto Difference = [](int64_t From, int64_t To) {
+    return std::max<int64_t>(0, To - From);
+  };
+  StratifiedTally Result;
+  for (size_t Index = 0; Index < StratumCount; ++Index) {
+    const AnswerTally &From = Before[Index];
+    const AnswerTally &To = Now[Index];
+    Result[Index] = {Difference(From.Count, To.Count),
+                     Difference(From.Bad, To.Bad),
+                     Difference(From.ToleratedMilli, To.ToleratedMilli),
+                     Difference(From.VarianceMilli, To.VarianceMilli)};
+  }
+  return Result;
+}
+
+// Good answers of the past do not make up for a fault that has begun since, and
+// a rare fault shows only in the sum since the order.
 bool isTargetBad(const RolloutEvidence &Evidence) {
-  if (Evidence.Tripped ||
-      exceedsTolerance(sumOf(Evidence.Target), DeviationsOfAll))
-    return true;
-  return std::any_of(Evidence.Target.begin(), Evidence.Target.end(),
-                     [](const AnswerTally &Stratum) {
-                       return exceedsTolerance(Stratum, DeviationsOfStratum);
-                     });
+  return Evidence.Tripped || exceedsTolerance(Evidence.Target) ||
+         exceedsTolerance(Evidence.Recent);
 }
 
 double canaryShare(const ExposureBounds &Bounds, size_t Replicas) {
