Complete a roll-out only on evidence of full traffic

Change: a target whose bad answers exceed what is tolerated by one standard deviation (two in a stratum) keeps all requests but is not completed. Hosts send their evidence at each tick while the target has all requests. Completion moves to 0.6 to 0.35 s before the limit. The plan leaves a margin for clumps of requests, takes a rate for a burst only from 1.5 times the mean over 3 to 6 s on (gossip made the measured rate uneven and the plan later), and the canary takes 0.2 of the bound.

--- a/include/berylramp/rollout.h
+++ b/include/berylramp/rollout.h
@@ -113,6 +113,10 @@
 /// or recently, on all routes together or in one stratum.
 bool isTargetBad(const RolloutEvidence &Evidence);
 
+/// True when the target may be bad: more evidence is needed before the roll-out
+/// can be completed.
+bool isTargetDoubtful(const RolloutEvidence &Evidence);
+
 /// The share of sessions, 0 to 1, that the canary step routes to the target,
 /// for a service with \p Replicas replicas of other versions.
 double canaryShare(const ExposureBounds &Bounds, size_t Replicas);
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -26,7 +26,9 @@
 constexpr absl::Duration PlanFreezeTime = absl::Seconds(1);
 /// Length of the window of recent evidence.
 constexpr absl::Duration RecentWindow = absl::Seconds(3);
-constexpr absl::Duration RateInterval = absl::Seconds(2);
+constexpr absl::Duration RateInterval = absl::Seconds(3);
+/// A rate is a burst when it exceeds the mean by this factor.
+constexpr double MinBurstFactor = 1.5;
 /// Baselines are dropped when routes that no longer exist fill the memory.
 constexpr size_t MaxBaselines = 4096;
 constexpr absl::Duration EvidenceLogInterval = absl::Seconds(2);
@@ -60,6 +62,7 @@
   addTally(Line, "target", Target);
   Line["target_tolerated"] = static_cast<double>(Target.ToleratedMilli) / 1000;
   addTally(Line, "recent", sumOf(Evidence.Recent));
+  Line["doubtful"] = isTargetDoubtful(Evidence);
   addTally(Line, "others", Evidence.Others);
 }
 
@@ -212,6 +215,9 @@
     logEvent(LogLevel::Info, "rollout_share", Line);
   }
   Rollout.LoggedShare = Next.Share;
+  // At full traffic, evidence must reach the other hosts before completion.
+  if (Next.Share == 1 && Next.State == RolloutState::InProgress)
+    this->Callbacks.NotifyPeers();
   this->logEvidence(Rollout, Elapsed);
   this->requestState(Rollout, Next.State);
 }
@@ -237,14 +243,15 @@
     Last = Current;
     Current = {Now, Traffic.Total};
   }
-  // A burst that has just begun counts more than the mean since the order.
   auto Rate = [](int64_t Count, absl::Duration Time) {
     return static_cast<double>(Count) /
            std::max(absl::ToDoubleSeconds(Time), 1.0);
   };
-  Traffic.PerSecond =
-      std::max(Rate(Traffic.Total, Elapsed),
-               Rate(Traffic.Total - Last.second, Now - Last.first));
+  Traffic.PerSecond = Rate(Traffic.Total, Elapsed);
+  // A burst that has just begun may last until the time limit.
+  double Recent = Rate(Traffic.Total - Last.second, Now - Last.first);
+  if (Recent > MinBurstFactor * Traffic.PerSecond)
+    Traffic.PerSecond = Recent;
   return Traffic;
 }
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -19,10 +19,13 @@
 
 /// Maximum fraction of the allowed share that the canary step uses. The
 /// remainder is left for full traffic.
-constexpr double CanaryExposureFraction = 0.35;
+constexpr double CanaryExposureFraction = 0.2;
 /// Fraction of the allowed requests that is planned for. The remainder covers
 /// requests in flight and changes of the rate.
 constexpr double PlannedExposureFraction = 0.85;
+/// Variance of the number of requests in a short time, relative to its mean:
+/// requests come in clumps.
+constexpr double ArrivalDispersion = 3;
 /// Product of the canary share and the number of replicas. It yields a few
 /// requests per second at a load that fills half of the replicas' slots. Each
 /// session that is active when the roll-out starts may change its version with
@@ -39,6 +42,10 @@
 /// tolerated one, for all routes together and for one of several strata.
 constexpr double DeviationsOfAll = 2.5;
 constexpr double DeviationsOfStratum = 3.0;
+/// The same for a target that is not bad but too doubtful to be completed.
+constexpr double DoubtDeviationsOfAll = 1.0;
+constexpr double DoubtDeviationsOfStratum = 2.0;
+constexpr int64_t MinDoubtfulAnswers = 2;
 /// An answer is slow when its first byte takes this many times as long as usual
 /// and longer by this margin, below which network latency dominates.
 constexpr double SlowdownFactor = 3.0;
@@ -56,10 +63,12 @@
 /// of the plan in between.
 constexpr double FirstHalfFraction = 0.52;
 constexpr double PlanningFraction = 0.4;
-/// Time before the time limit at which the roll-out is recorded as complete. It
-/// suffices for a second host to write when the first one fails.
-constexpr absl::Duration CompletionLead = absl::Seconds(1);
-/// Minimum time of full traffic before completion.
+/// Time of full traffic after which the roll-out is recorded as complete, but
+/// not before the first and not after the second of these times before the time
+/// limit, if at least the minimum time of full traffic has passed.
+constexpr absl::Duration FullTrafficTime = absl::Milliseconds(1700);
+constexpr absl::Duration EarliestCompletionLead = absl::Milliseconds(600);
+constexpr absl::Duration LatestCompletionLead = absl::Milliseconds(350);
 constexpr absl::Duration MinFullTrafficTime = absl::Milliseconds(500);
 
 double toleratedBadRate(const RouteBaseline &Usual) {
@@ -72,13 +81,21 @@
   return static_cast<int64_t>(std::lround(Value * 1000));
 }
 
-bool exceedsTolerance(const AnswerTally &Tally, double Deviations) {
-  if (Tally.Bad < MinBadAnswers)
-    return false;
+/// The number of bad answers that a tolerated version exceeds rarely.
+double maxBadAnswers(const AnswerTally &Tally, double Deviations) {
   double Tolerated = static_cast<double>(Tally.ToleratedMilli) / 1000;
   double Variance = static_cast<double>(Tally.VarianceMilli) / 1000;
-  return static_cast<double>(Tally.Bad) >
-         Tolerated + Deviations * std::sqrt(Variance) + 1;
+  return Tolerated + Deviations * std::sqrt(Variance);
+}
+
+bool exceedsTolerance(const AnswerTally &Tally, double Deviations) {
+  return Tally.Bad >= MinBadAnswers &&
+         static_cast<double>(Tally.Bad) > maxBadAnswers(Tally, Deviations) + 1;
+}
+
+bool isDoubtful(const AnswerTally &Tally, double Deviations) {
+  return Tally.Bad >= MinDoubtfulAnswers &&
+         static_cast<double>(Tally.Bad) > maxBadAnswers(Tally, Deviations);
 }
 
 } // namespace
@@ -113,6 +130,14 @@
                      });
 }
 
+bool isDoubtful(const StratifiedTally &Strata) {
+  return isDoubtful(sumOf(Strata), DoubtDeviationsOfAll) ||
+         std::any_of(Strata.begin(), Strata.end(),
+                     [](const AnswerTally &Stratum) {
+                       return isDoubtful(Stratum, DoubtDeviationsOfStratum);
+                     });
+}
+
 } // namespace
 
 StratifiedTally &operator+=(StratifiedTally &Sum,
@@ -178,6 +203,10 @@
          exceedsTolerance(Evidence.Recent);
 }
 
+bool isTargetDoubtful(const RolloutEvidence &Evidence) {
+  return isDoubtful(Evidence.Target) || isDoubtful(Evidence.Recent);
+}
+
 double canaryShare(const ExposureBounds &Bounds, size_t Replicas) {
   double Share = CanaryShareTimesReplicas /
                  static_cast<double>(std::max<size_t>(Replicas, 1));
@@ -199,9 +228,10 @@
                                        absl::ToDoubleSeconds(Elapsed));
   double ExpectedTotal =
       static_cast<double>(Traffic.Total) + Traffic.PerSecond * Remaining;
+  double Bound =
+      Bounds.Share * ExpectedTotal + static_cast<double>(Bounds.Slack);
   double Allowed =
-      PlannedExposureFraction *
-      (Bounds.Share * ExpectedTotal + static_cast<double>(Bounds.Slack));
+      PlannedExposureFraction * Bound - std::sqrt(ArrivalDispersion * Bound);
   // Until full traffic begins, the target receives the canary share; from then
   // on it receives all.
   double CanaryOnly = static_cast<double>(Traffic.Target) +
@@ -222,10 +252,13 @@
   if (Elapsed < Schedule.FullTrafficAt ||
       Target.Count - Target.Bad < MinGoodAnswers)
     return {Schedule.Canary, RolloutState::InProgress};
-  absl::Duration CompleteAt =
-      std::max(Order.TimeLimit - CompletionLead,
-               Schedule.FullTrafficAt + MinFullTrafficTime);
-  if (Elapsed < CompleteAt)
+  absl::Duration CompleteAt = std::min(Schedule.FullTrafficAt + FullTrafficTime,
+                                       Order.TimeLimit - LatestCompletionLead);
+  CompleteAt = std::max({CompleteAt, Order.TimeLimit - EarliestCompletionLead,
+                         Schedule.FullTrafficAt + MinFullTrafficTime});
+  // The old version is gone once the roll-out is complete, so a doubtful target
+  // keeps all requests until it is found bad or good.
+  if (Elapsed < CompleteAt || isTargetDoubtful(Evidence))
     return {1, RolloutState::InProgress};
   return {1, RolloutState::Complete};
 }
