Correct two tests of the completion of a roll-out

The doubtful target of one was not doubtful (4 bad answers of 40 are tolerated; now 6). In the other, the target had 60 of 460 answers before full traffic, four times what the canary gives it, so that the bound left no time for full traffic; now 12 of 412, the canary's share. What they check is unchanged.

--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -421,11 +421,11 @@
   this->Controller.onOrder(Order);
   this->tickAt(10.3);
   this->recordOutcomes("v1", true, 400);
-  this->recordOutcomes("v2", true, 60);
+  this->recordOutcomes("v2", true, 12);
   this->tickAt(12);
   // The driver did not run for most of the order's time limit.
   this->tickAt(28.5);
-  this->tickAt(29.7);
+  this->tickAt(29.9);
   REQUIRE_FALSE(this->WrittenStates.empty());
   CHECK(this->WrittenStates.back() == RolloutState::Complete);
 }
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -105,7 +105,7 @@
 
 TEST_CASE("A doubtful target is not completed and keeps all requests") {
   RolloutEvidence Evidence = makeEvidence(50, 0);
-  Evidence.Recent = makeEvidence(40, 4, 0.02).Target;
+  Evidence.Recent = makeEvidence(40, 6, 0.02).Target;
   REQUIRE_FALSE(isTargetBad(Evidence));
   RolloutStep Step = nextRolloutStep(Order, {0.05, absl::Seconds(17)}, Evidence,
                                      absl::Seconds(19.9));
