Choose the version again for each attempt of a request

Callers of a stream that began on the old version got a broken answer when the roll-out completed: the old replicas stop at once, and the request stayed bound to their version. A retry of a request that began on a version which was reverted meanwhile reached that version once more.

Change: the rule of versions is evaluated for each attempt.

Measured: the new test (a stream is cut after the completion and resumes at the target) fails on the code before, with no run at the target, and passes.

--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -101,8 +101,7 @@
       pickService(*this->MatchedRoute, hashToUnitInterval(this->RequestId));
   const std::string *Session = findHeader(this->Request.Headers, Names.Session);
   const std::string &DrawKey = Session != nullptr ? *Session : this->RequestId;
-  this->Versions = this->Core.Hooks.VersionFor(
-      this->Service, hashToUnitInterval(absl::StrCat("version/", DrawKey)));
+  this->VersionDraw = hashToUnitInterval(absl::StrCat("version/", DrawKey));
   int64_t Last = -1;
   if (const std::string *Id =
           findHeader(this->Request.Headers, Names.LastEventId))
@@ -150,7 +149,9 @@
 ChoiceQuery Relay::choiceQuery() const {
   ChoiceQuery Result;
   Result.Service = this->Service;
-  Result.Rule = this->Versions;
+  // Evaluated for each attempt: a version may have been reverted or replaced
+  // since the last one.
+  Result.Rule = this->Core.Hooks.VersionFor(this->Service, this->VersionDraw);
   if (this->MatchedRoute->EventStream) {
     Result.Segments = this->Prompt.Segments;
     // Engines cache prompt segments separately for each model.
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -86,7 +86,8 @@
   const Route *MatchedRoute = nullptr;
   WorkspaceInfo Workspace;
   ServiceId Service;
-  VersionRule Versions;
+  /// Same for all requests of a session, in [0, 1).
+  double VersionDraw = 0;
   std::string RequestId;
   PromptInfo Prompt;
   CascadeQuery Cascade;
--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -413,6 +413,37 @@
       absl::Seconds(60)));
 }
 
+// Guards against a request that is bound to the version it started on, which is
+// gone when the roll-out completes.
+TEST_CASE_METHOD(ServingFixture,
+                 "A stream of the old version resumes at the new one after the "
+                 "roll-out completed") {
+  auto Target = std::make_shared<standin::Replica>(
+      this->Loop, this->Timer, "engine-9", "engine", "zone-a");
+  REQUIRE(Target->listen().ok());
+  this->Store->put("keyed.servers", Target->id(), Target->entry("ready", "v2"));
+  this->Store->put("keyed.op", "rollout/engine",
+                   R"({"service":"engine","target":"v2","durationS":60})");
+  REQUIRE(this->runUntil([&] {
+    return absl::StrContains(
+        this->Store->newest("keyed.status", "rollout/engine"), "in_progress");
+  }));
+  RawCaller Caller(this->Loop, this->callerEndpoint());
+  Caller.send(makeRequest("/stream/long", "long-1", "", "x", "key-1"));
+  REQUIRE(this->runUntil(
+      [&] { return absl::StrContains(Caller.received(), "3 of long-1"); }));
+  REQUIRE(Target->ExecutedRequests.empty());
+  this->Store->put("keyed.status", "rollout/engine",
+                   R"({"state":"complete","target":"v2"})");
+  this->runFor(absl::Milliseconds(600));
+  for (const auto &Old : this->Engines) {
+    Old->EventsBeforeCut = 1;
+    Old->Behavior = ReplicaBehavior::RefusesAsFull;
+  }
+  CHECK(this->runUntil([&] { return Caller.hasCompleteAnswer(); }));
+  CHECK(Target->ExecutedRequests.size() == 1);
+}
+
 TEST_CASE_METHOD(EdgeFixture,
                  "A host that starts after a roll-out keeps its end state") {
   this->putTable(1, {"key-1"});
