Log the prompt segments of answers that were cut

The logs did not state the parts of a prompt, so that failures under one part could not be told from failures of one route or of engines. attempt_failed has 'segments' (hashes, without the last one) and 'events' (those that were forwarded) when the connection was cut.

--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -103,6 +103,8 @@
   bool AwaitingConnect = false;
   bool FirstByteReceived = false;
   bool IsStreaming = false;
+  /// Events of a stream that were forwarded.
+  int EventCount = 0;
   bool Observed = false;
   bool IsBad = false;
   HttpHead Head;
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -142,6 +142,12 @@
   return Info;
 }
 
+std::vector<PromptSegment> sharedSegments(const PromptInfo &Prompt) {
+  if (Prompt.Segments.empty())
+    return {};
+  return {Prompt.Segments.begin(), Prompt.Segments.end() - 1};
+}
+
 bool parseLoad(const std::string &Text, ReportedLoad &Load) {
   std::vector<absl::string_view> Values = absl::StrSplit(Text, ',');
   return Values.size() == 3 && absl::SimpleAtoi(Values[0], &Load.Running) &&
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -45,6 +45,9 @@
   std::vector<PromptSegment> Segments;
 };
 
+/// The segments that other requests may share: all but the last.
+std::vector<PromptSegment> sharedSegments(const PromptInfo &Prompt);
+
 PromptInfo parsePromptInfo(const CallerRequest &Request,
                            const HeaderNames &Names);
 
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -178,8 +178,10 @@
                             Outcome::ConnectionFailed, true);
       break;
     }
-    if (Verdict == EventSequence::Verdict::Next)
+    if (Verdict == EventSequence::Verdict::Next) {
       EventBytes += Event.Bytes;
+      Source.EventCount += 1;
+    }
   }
   const ExchangeSettings &Settings = this->Core.Settings;
   if (this->Current == AttemptGuard &&
@@ -276,6 +278,14 @@
   Line["reason"] = retryReasonName(Reason);
   Line["sent"] = Sent;
   Line["waited_ms"] = absl::ToInt64Milliseconds(this->now() - Source.SentAt);
+  bool Cut = Reason == RetryReason::CutBeforeFirstByte ||
+             Reason == RetryReason::CutMidStream;
+  if (Cut) {
+    Line["events"] = Source.EventCount;
+    Line["segments"] = Json::Value(Json::arrayValue);
+    for (const PromptSegment &Segment : sharedSegments(this->Prompt))
+      Line["segments"].append(toHex(Segment.Id));
+  }
   logEvent(LogLevel::Info, "attempt_failed", Line);
   this->Core.Counters.countRetry(Reason);
   if (Sent)
