--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -462,3 +462,26 @@
   CHECK(absl::StrContains(this->Store->newest("keyed.status", "rollout/engine"),
                           "complete"));
 }
+
+TEST_CASE_METHOD(ServingFixture,
+                 "A stream without length or chunks ends with its connection") {
+  this->setBehavior(ReplicaBehavior::Unframed);
+  RawCaller Whole = this->call("/stream/a", "unframed-1");
+  CHECK(Whole.status() == 200);
+  CHECK(Whole.hasCompleteAnswer());
+  CHECK(absl::StrContains(Whole.received(), "5 of unframed-1"));
+  CHECK(this->runCount("unframed-1") == 1);
+}
+
+TEST_CASE_METHOD(ServingFixture,
+                 "A stream without length or chunks that ends inside an event "
+                 "is resumed") {
+  this->setBehavior(ReplicaBehavior::Unframed);
+  for (const auto &Engine : this->Engines)
+    Engine->EventsBeforeCut = 3;
+  RawCaller Caller = this->call("/stream/a", "unframed-2");
+  CHECK(Caller.status() == 200);
+  CHECK(Caller.hasCompleteAnswer());
+  CHECK(absl::StrContains(Caller.received(), "5 of unframed-2"));
+  CHECK(this->runCount("unframed-2") == 2);
+}
--- /dev/null
+++ b/test/edge_quarantine_test.cpp
@@ -0,0 +1,164 @@
+//===- edge_quarantine_test.cpp - Prompt segments that end engines --------===//
+
+#include "edge_fixture.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include <catch2/catch.hpp>
+
+using namespace berylramp;
+using standin::ReplicaBehavior;
+
+namespace {
+
+/// Crashes after which the requests are counted.
+constexpr int64_t CrashesBefore = 5;
+/// Requests with the segment that may reach engines later.
+constexpr int64_t MaxLaterCrashes = 3;
+/// Less than the time in which the operators want all hosts to know.
+constexpr absl::Duration SpreadTime = absl::Seconds(2);
+
+/// A serving host, a second one with the same store, and engines that end on
+/// prompts with the segment "bad1".
+struct QuarantineFixture : ServingFixture {
+  QuarantineFixture() {
+    for (const auto &Engine : this->Engines)
+      Engine->CrashingSegment = "bad1";
+  }
+  ~QuarantineFixture() { this->Second.reset(); }
+
+  /// Starts a second host; without links it reaches no other host.
+  void startSecond(bool WithLinks) {
+    std::vector<int> Ports = {
+        this->Config.Callers.Port, this->Config.Ready.Port,
+        this->Config.Directory.Port, this->Config.Peers.Port,
+        WithLinks ? this->Config.GossipPort : standin::findFreePort()};
+    absl::StatusOr<HostConfig> Decoded =
+        platform::decodeSettings(standin::sampleSettings(
+            "host-2", "zone-a", "127.0.0.2", Ports, this->Store->address(),
+            absl::StrCat("127.0.0.1:", this->Config.Peers.Port)));
+    REQUIRE(Decoded.ok());
+    this->SecondConfig = *Decoded;
+    if (!WithLinks) {
+      this->SecondConfig.Seeds.clear();
+      this->SecondConfig.GossipPort = Ports[4];
+      this->SecondConfig.Peers.Port = 0;
+    }
+    EdgeSettings Settings;
+    EdgePlatform Platform;
+    Platform.Store = platform::createStorePort(
+        this->Loop, this->Timer, this->SecondConfig.Store, Settings);
+    Platform.Codec = platform::codec();
+    this->Second = std::make_unique<EdgeDaemon>(this->Loop, this->Timer,
+                                                this->SecondConfig,
+                                                std::move(Platform), Settings);
+    REQUIRE(this->Second->start().ok());
+    REQUIRE(this->runUntil(
+        [&] { return this->callSound(this->SecondConfig.Callers) == 200; }));
+  }
+
+  int callWith(const Endpoint &Host, const std::string &Segment) {
+    this->Count += 1;
+    std::string Id = absl::StrCat("q", this->Count);
+    RawCaller Caller(this->Loop, Host);
+    Caller.send(makeRequest("/stream/a", Id,
+                            absl::StrCat("Berylramp-Prefix-Hash: aa",
+                                         this->Count % 3, ":300,", Segment,
+                                         ":200,ee", this->Count, ":100\r\n"),
+                            "x", "key-1"));
+    this->runUntil(
+        [&] { return Caller.hasCompleteAnswer() || Caller.isClosed(); });
+    this->LastAnswer = Caller.received();
+    return Caller.status();
+  }
+  int callBad(const Endpoint &Host) { return this->callWith(Host, "bad1"); }
+  int callSound(const Endpoint &Host) { return this->callWith(Host, "cc"); }
+
+  /// Publishes the engines as the processes that they are now.
+  void publishEngines() {
+    for (const auto &Engine : this->Engines)
+      this->Store->put("keyed.servers", Engine->id(),
+                       Engine->entry("ready", "v1"));
+  }
+
+  int64_t crashes() const {
+    int64_t Sum = 0;
+    for (const auto &Engine : this->Engines)
+      Sum += Engine->Crashes;
+    return Sum;
+  }
+
+  /// Sends bad requests between sound ones until the segment was sent to five
+  /// engines, or often enough.
+  void crashEngines(const Endpoint &Host) {
+    for (int Round = 0; Round < 20 && this->crashes() < CrashesBefore;
+         ++Round) {
+      this->callBad(Host);
+      this->callSound(Host);
+      this->publishEngines();
+      this->runFor(absl::Milliseconds(300));
+    }
+    this->runFor(SpreadTime);
+  }
+
+  int64_t crashesOf(const Endpoint &Host, int Requests) {
+    int64_t Before = this->crashes();
+    for (int Index = 0; Index < Requests; ++Index)
+      this->callBad(Host);
+    return this->crashes() - Before;
+  }
+
+  int soundAnswersOf(const Endpoint &Host, int Requests) {
+    int Good = 0;
+    for (int Index = 0; Index < Requests; ++Index)
+      Good += this->callSound(Host) == 200 ? 1 : 0;
+    return Good;
+  }
+
+  HostConfig SecondConfig;
+  std::unique_ptr<EdgeDaemon> Second;
+  std::string LastAnswer;
+  int Count = 0;
+};
+
+} // namespace
+
+// Guards against engines that end one after the other under one prompt segment.
+TEST_CASE_METHOD(QuarantineFixture,
+                 "Requests with a segment that ends engines are refused and "
+                 "sound ones are served") {
+  this->crashEngines(this->callerEndpoint());
+  CHECK(this->crashesOf(this->callerEndpoint(), 20) <= MaxLaterCrashes);
+  CHECK(absl::StrContains(this->LastAnswer, "503"));
+  CHECK(absl::StrContains(this->LastAnswer, "Retry-After"));
+  CHECK(this->soundAnswersOf(this->callerEndpoint(), 20) == 20);
+  // The engines have started again since, also under the same ids.
+  this->publishEngines();
+  this->runFor(absl::Milliseconds(500));
+  CHECK(this->crashesOf(this->callerEndpoint(), 5) == 0);
+}
+
+TEST_CASE_METHOD(QuarantineFixture,
+                 "A host refuses a segment that ended engines at another one") {
+  this->startSecond(true);
+  this->crashEngines(this->callerEndpoint());
+  CHECK(this->crashesOf(this->SecondConfig.Callers, 10) <= MaxLaterCrashes);
+  CHECK(this->soundAnswersOf(this->SecondConfig.Callers, 10) == 10);
+}
+
+TEST_CASE_METHOD(QuarantineFixture,
+                 "A host that is cut off from the others learns of a segment "
+                 "that ends engines from the store") {
+  this->startSecond(false);
+  this->crashEngines(this->callerEndpoint());
+  CHECK(this->crashesOf(this->SecondConfig.Callers, 10) <= MaxLaterCrashes);
+  CHECK(this->soundAnswersOf(this->SecondConfig.Callers, 10) == 10);
+}
+
+TEST_CASE_METHOD(QuarantineFixture,
+                 "A host that starts refuses a segment that ended engines "
+                 "before") {
+  this->crashEngines(this->callerEndpoint());
+  this->startSecond(false);
+  CHECK(this->crashesOf(this->SecondConfig.Callers, 10) <= MaxLaterCrashes);
+}
