Quarantine prompt segments under which engines end

Cause: each failure was taken for a failure of the engine. The request went on to up to two more engines, and nothing remembered what the failed requests had in common, on no host. The class: a fault that travels with the input is handled as one of the place.

Change: when an engine ends before, or within 0.5 s after, the first event of an answer, its host reports the prompt's shared segments to all hosts. The segment is broadcast, and kept in the store's topic of roll-out states for hosts that are cut off or start later; deleting the record releases it.

Evidence: the log shows the requests cut at a second and third engine 0.05 to 0.16 s after they began; sound requests of the same route are answered.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -259,6 +259,17 @@
   /// Observes an attempt until it returns true, which means that the answer is
   /// bad.
   std::function<bool(const AnswerObservation &)> ObserveAnswer;
+  /// Remaining time for which prompts with these segments are refused; zero
+  /// when they are not.
+  std::function<absl::Duration(const std::vector<uint64_t> &Segments)>
+      PromptRefusedFor;
+  /// Called when a replica ended before or just after it began an answer;
+  /// returns whether the request may be sent to another replica.
+  std::function<bool(const Replica &, const std::vector<uint64_t> &Segments)>
+      OnPromptCrash;
+  /// Called when a replica wrote an answer for a while, or completely.
+  std::function<void(const std::vector<uint64_t> &Segments, Instant SentAt)>
+      OnPromptAnswered;
   /// True once this host drains and new requests must go to another host.
   std::function<bool()> RejectsNewRequests;
   /// Called when work was sent to a replica, to notify the other hosts that use
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -11,6 +11,7 @@
 #define BERYLRAMP_GOSSIP_H
 
 #include "absl/container/flat_hash_map.h"
+#include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
 #include "berylramp/routes.h"
 #include "berylramp/timer.h"
@@ -55,6 +56,12 @@
 std::string encodeLeavingReport(const LeavingReport &Report);
 /// False when \p Datagram is no report of a leaving replica.
 bool decodeLeavingReport(const std::string &Datagram, LeavingReport &Report);
+std::string encodePromptCrash(const PromptCrash &Crash);
+/// False when \p Datagram is no report of a replica that ended.
+bool decodePromptCrash(const std::string &Datagram, PromptCrash &Crash);
+/// A segment in quarantine.
+std::string encodeQuarantine(uint64_t Segment);
+bool decodeQuarantine(const std::string &Datagram, uint64_t &Segment);
 std::string encodeWorkReport(const WorkReport &Report);
 /// False when \p Datagram is no work report.
 bool decodeWorkReport(const std::string &Datagram, WorkReport &Report);
--- a/include/berylramp/refusal.h
+++ b/include/berylramp/refusal.h
@@ -39,6 +39,7 @@
   UpstreamFailed,
   AnswerCut,
   DeadlinePassed,
+  PromptQuarantined,
   Internal
 };
 inline constexpr int RefusalKindCount =
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -35,6 +35,7 @@
   this->Peers.self().Leaving = this->Leaving;
   this->Relayer->setRetrySlack(this->retrySlackShare());
   this->Rollouts->tick(this->Peers);
+  this->Quarantine->tick();
   this->detectHostPause();
 }
 
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -87,6 +87,13 @@
 void EdgeDaemon::State::applyRolloutStates(
     const std::vector<StoreRecord> &Records, Offset ReadTo) {
   for (const StoreRecord &Record : Records) {
+    std::optional<uint64_t> Segment =
+        this->Platform.Codec.DecodeQuarantineKey(Record.Key);
+    if (Segment) {
+      this->Cache.put(StoreTopic::RolloutStates, Record, ReadTo);
+      this->Quarantine->onRecord(*Segment, Record.Value.has_value());
+      continue;
+    }
     if (!Record.Value)
       continue;
     auto Decoded = this->Platform.Codec.DecodeRolloutState(*Record.Value);
@@ -191,8 +198,10 @@
   // Spread over time: all hosts write at about the same moment.
   auto Weak = this->weak_from_this();
   this->Timer.after(this->Settings.RewriteSpread * randomFactor(), [Weak] {
-    if (auto Self = Weak.lock())
+    if (auto Self = Weak.lock()) {
       Self->announceHost(InitialHostsRetry);
+      Self->Quarantine->rewriteRecords();
+    }
   });
 }
 
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -72,6 +72,7 @@
   Hooks.ObserveAnswer = [this](const AnswerObservation &Observation) {
     return this->Rollouts->observe(Observation);
   };
+  this->addQuarantineHooks(Hooks);
   Hooks.RejectsNewRequests = [this] {
     return this->Leaving && this->Timer.now() - this->LeavingSince >
                                 this->Settings.RefuseNewDelay;
@@ -94,6 +95,44 @@
   return Hooks;
 }
 
+void EdgeDaemon::State::addQuarantineHooks(ExchangeHooks &Hooks) {
+  Hooks.PromptRefusedFor = [this](const std::vector<uint64_t> &Segments) {
+    return this->Quarantine->segments().refusedFor(Segments, this->Timer.now());
+  };
+  Hooks.OnPromptCrash = [this](const Replica &Ended,
+                               const std::vector<uint64_t> &Segments) {
+    return this->Quarantine->onOwnCrash({Ended.IdHash, Segments});
+  };
+  Hooks.OnPromptAnswered = [this](const std::vector<uint64_t> &Segments,
+                                  Instant SentAt) {
+    this->Quarantine->segments().onAnswered(Segments, SentAt);
+  };
+}
+
+void EdgeDaemon::State::createQuarantine() {
+  QuarantineController::Ports Ports;
+  Ports.SendCrash = [this](const PromptCrash &Crash) {
+    this->Link->sendPromptCrash(Crash);
+  };
+  Ports.SendQuarantine = [this](uint64_t Segment) {
+    this->Link->sendQuarantine(Segment);
+  };
+  Ports.Write = [this](uint64_t Segment, AppendCallback Done) {
+    this->Platform.Store.Append(StoreTopic::RolloutStates,
+                                this->Platform.Codec.EncodeQuarantine(Segment),
+                                StorePosition(), std::move(Done));
+  };
+  Ports.WriterRank = [this] { return this->writerRank(); };
+  Ports.Now = [this] { return this->Timer.now(); };
+  this->Quarantine = std::make_unique<QuarantineController>(std::move(Ports));
+  this->Link->OnPromptCrash = [this](const PromptCrash &Crash) {
+    this->Quarantine->onPeerCrash(Crash);
+  };
+  this->Link->OnQuarantine = [this](uint64_t Segment) {
+    this->Quarantine->onPeerQuarantine(Segment);
+  };
+}
+
 void EdgeDaemon::State::logLeavingReplica(const UpstreamId &Id,
                                           const char *Source) const {
   Json::Value Line(Json::objectValue);
@@ -175,6 +214,7 @@
     if (Id)
       this->logLeavingReplica(*Id, "peer");
   };
+  this->createQuarantine();
   for (const Endpoint &Seed : this->Config.Seeds)
     this->Peers.addAddress(parseIp(Seed.Ip), this->Timer.now());
   absl::Status Opened = this->Link->open();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -6,6 +6,7 @@
 #include "berylramp/edge.h"
 #include "directory.h"
 #include "peer_link.h"
+#include "quarantine_controller.h"
 #include "reader_health.h"
 #include "record_cache.h"
 #include "rollout_controller.h"
@@ -85,6 +86,8 @@
   std::unique_ptr<HttpListener> makeListener(RequestHandler Handler);
   ExchangeSettings exchangeSettings() const;
   ExchangeHooks exchangeHooks();
+  void addQuarantineHooks(ExchangeHooks &Hooks);
+  void createQuarantine();
   void logLeavingReplica(const UpstreamId &Id, const char *Source) const;
 
   void applyOperatorRecords(const std::vector<StoreRecord> &Records,
@@ -130,6 +133,7 @@
   UpstreamRegistry Registry;
   PeerTable Peers;
   std::shared_ptr<PeerLink> Link;
+  std::unique_ptr<QuarantineController> Quarantine;
   std::unique_ptr<RolloutController> Rollouts;
   std::unique_ptr<Exchange> Relayer;
   std::shared_ptr<StoreFollower> Operators;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -89,6 +89,16 @@
   });
 }
 
+void PeerLink::sendPromptCrash(const PromptCrash &Crash) {
+  this->broadcast(encodePromptCrash(Crash),
+                  [](const PlaceId &) { return true; });
+}
+
+void PeerLink::sendQuarantine(uint64_t Segment) {
+  this->broadcast(encodeQuarantine(Segment),
+                  [](const PlaceId &) { return true; });
+}
+
 void PeerLink::receive() {
   auto Self = this->shared_from_this();
   this->Socket.async_wait(
@@ -108,10 +118,16 @@
           std::string Datagram(Bytes.data(), Count);
           WorkReport Work;
           LeavingReport Leaving;
+          PromptCrash Crash;
+          uint64_t Segment = 0;
           if (decodeWorkReport(Datagram, Work))
             Self->OnWorkReport(Work);
           else if (decodeLeavingReport(Datagram, Leaving))
             Self->OnLeavingReport(Leaving);
+          else if (decodePromptCrash(Datagram, Crash))
+            Self->OnPromptCrash(Crash);
+          else if (decodeQuarantine(Datagram, Segment))
+            Self->OnQuarantine(Segment);
           else
             Self->mergeState(Datagram, Sender.address().to_v4().to_uint());
         }
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -30,6 +30,12 @@
   void sendWorkReport(const WorkReport &Report, const PlaceId &Place);
   /// Reports a replica that is shutting down to the hosts of this region.
   void sendLeavingReport(const LeavingReport &Report);
+  /// Reports a replica that ended under a prompt to all hosts.
+  void sendPromptCrash(const PromptCrash &Crash);
+  /// Tells all hosts of a segment in quarantine.
+  void sendQuarantine(uint64_t Segment);
+  std::function<void(const PromptCrash &)> OnPromptCrash;
+  std::function<void(uint64_t Segment)> OnQuarantine;
   /// Called for each report of a leaving replica that a peer sent.
   std::function<void(const LeavingReport &)> OnLeavingReport;
   /// Called for each work report that a peer sent.
--- /dev/null
+++ b/src/edge/quarantine_controller.cpp
@@ -0,0 +1,110 @@
+//===- quarantine_controller.cpp - Quarantine shared by hosts -------------===//
+
+#include "quarantine_controller.h"
+
+#include <algorithm>
+
+namespace berylramp {
+
+namespace {
+
+/// Delay of a write for each live host that writes before this one.
+constexpr absl::Duration WriteDelayPerRank = absl::Milliseconds(400);
+/// Crashes that a host reports per second, and at once. Many connections break
+/// when many replicas are stopped together.
+constexpr double ReportsPerSecond = 10;
+constexpr double MaxReportsAtOnce = 20;
+
+Json::Value logFieldsOf(uint64_t Segment) {
+  Json::Value Line(Json::objectValue);
+  Line["segment"] = toHex(Segment);
+  return Line;
+}
+
+} // namespace
+
+bool QuarantineController::onOwnCrash(const PromptCrash &Crash) {
+  Instant Now = this->Callbacks.Now();
+  double Seconds = absl::ToDoubleSeconds(Now - this->AllowanceAt);
+  this->ReportAllowance = std::min(
+      MaxReportsAtOnce, this->ReportAllowance + Seconds * ReportsPerSecond);
+  this->AllowanceAt = Now;
+  if (this->ReportAllowance >= 1) {
+    this->ReportAllowance -= 1;
+    this->Callbacks.SendCrash(Crash);
+  }
+  std::optional<uint64_t> Segment = this->Quarantine.onCrash(Crash, Now);
+  if (Segment)
+    this->onQuarantined(*Segment, "own");
+  return !this->Quarantine.isSuspect(Crash.Segments);
+}
+
+void QuarantineController::onPeerCrash(const PromptCrash &Crash) {
+  std::optional<uint64_t> Segment =
+      this->Quarantine.onCrash(Crash, this->Callbacks.Now());
+  if (Segment)
+    this->onQuarantined(*Segment, "crashes of peers");
+}
+
+void QuarantineController::onQuarantined(uint64_t Segment, const char *Source) {
+  Json::Value Line = logFieldsOf(Segment);
+  Line["source"] = Source;
+  logEvent(LogLevel::Warn, "segment_quarantined", Line);
+  this->Callbacks.SendQuarantine(Segment);
+  this->PendingWrites[Segment].Since = this->Callbacks.Now();
+}
+
+void QuarantineController::onPeerQuarantine(uint64_t Segment) {
+  if (!this->Quarantine.add(Segment, this->Callbacks.Now()))
+    return;
+  Json::Value Line = logFieldsOf(Segment);
+  Line["source"] = "peer";
+  logEvent(LogLevel::Warn, "segment_quarantined", Line);
+  this->PendingWrites[Segment].Since = this->Callbacks.Now();
+}
+
+void QuarantineController::onRecord(uint64_t Segment, bool Exists) {
+  this->PendingWrites.erase(Segment);
+  Json::Value Line = logFieldsOf(Segment);
+  if (!Exists) {
+    this->Quarantine.release(Segment);
+    logEvent(LogLevel::Info, "segment_released", Line);
+    return;
+  }
+  if (!this->Quarantine.add(Segment, this->Callbacks.Now()))
+    return;
+  Line["source"] = "store";
+  logEvent(LogLevel::Warn, "segment_quarantined", Line);
+}
+
+void QuarantineController::rewriteRecords() {
+  for (uint64_t Segment : this->Quarantine.segments())
+    this->PendingWrites[Segment].Since = this->Callbacks.Now();
+}
+
+void QuarantineController::tick() {
+  absl::Duration Delay = WriteDelayPerRank * this->Callbacks.WriterRank();
+  for (auto &[Segment, Pending] : this->PendingWrites) {
+    if (Pending.InFlight || this->Callbacks.Now() - Pending.Since < Delay)
+      continue;
+    Pending.InFlight = true;
+    uint64_t Written = Segment;
+    this->Callbacks.Write(Segment, [this, Written](const absl::Status &Status) {
+      Json::Value Line = logFieldsOf(Written);
+      Line["result"] = Status.ok() ? "ok" : std::string(Status.message());
+      logEvent(LogLevel::Info, "quarantine_write", Line);
+      auto Found = this->PendingWrites.find(Written);
+      if (Found == this->PendingWrites.end())
+        return;
+      // A failed write is repeated after the delay.
+      Found->second = {this->Callbacks.Now(), false};
+      if (Status.ok())
+        this->PendingWrites.erase(Found);
+    });
+    // The callback may have changed the map; the rest is written at later
+    // ticks.
+    return;
+  }
+}
+
+} // namespace berylramp
--- /dev/null
+++ b/src/edge/quarantine_controller.h
@@ -0,0 +1,61 @@
+//===- quarantine_controller.h - Quarantine shared by hosts -----*- C++ -*-===//
+//
+// Spreads crashes of replicas and segments in quarantine by datagrams, and
+// keeps the segments in the store for hosts that are cut off or start later.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef BERYLRAMP_EDGE_QUARANTINE_CONTROLLER_H
+#define BERYLRAMP_EDGE_QUARANTINE_CONTROLLER_H
+
+#include "berylramp/edge.h"
+#include "berylramp/quarantine.h"
+#include <map>
+
+namespace berylramp {
+
+class QuarantineController {
+public:
+  struct Ports {
+    std::function<void(const PromptCrash &)> SendCrash;
+    std::function<void(uint64_t Segment)> SendQuarantine;
+    std::function<void(uint64_t Segment, AppendCallback)> Write;
+    /// The number of live hosts that write before this one.
+    std::function<int()> WriterRank;
+    std::function<Instant()> Now;
+  };
+
+  explicit QuarantineController(Ports Callbacks)
+      : Callbacks(std::move(Callbacks)) {}
+
+  /// A replica ended under a request of this host; returns whether the request
+  /// may be repeated.
+  bool onOwnCrash(const PromptCrash &Crash);
+  void onPeerCrash(const PromptCrash &Crash);
+  void onPeerQuarantine(uint64_t Segment);
+  /// The store has a record of the segment, or no longer has it.
+  void onRecord(uint64_t Segment, bool Exists);
+  /// Writes the records again after the store lost them.
+  void rewriteRecords();
+  void tick();
+
+  PromptQuarantine &segments() { return this->Quarantine; }
+
+private:
+  struct PendingWrite {
+    Instant Since;
+    bool InFlight = false;
+  };
+  void onQuarantined(uint64_t Segment, const char *Source);
+
+  Ports Callbacks;
+  PromptQuarantine Quarantine;
+  std::map<uint64_t, PendingWrite> PendingWrites;
+  /// Crashes that this host may report at once.
+  double ReportAllowance = 0;
+  Instant AllowanceAt;
+};
+
+} // namespace berylramp
+
+#endif // BERYLRAMP_EDGE_QUARANTINE_CONTROLLER_H
--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -105,6 +105,9 @@
   bool IsStreaming = false;
   /// Events of a stream that were forwarded.
   int EventCount = 0;
+  Instant FirstEventAt;
+  /// The replica has written long enough to show that it survives the prompt.
+  bool IsProof = false;
   bool Observed = false;
   bool IsBad = false;
   HttpHead Head;
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -142,10 +142,11 @@
   return Info;
 }
 
-std::vector<PromptSegment> sharedSegments(const PromptInfo &Prompt) {
-  if (Prompt.Segments.empty())
-    return {};
-  return {Prompt.Segments.begin(), Prompt.Segments.end() - 1};
+std::vector<uint64_t> sharedSegments(const PromptInfo &Prompt) {
+  std::vector<uint64_t> Ids;
+  for (size_t Index = 0; Index + 1 < Prompt.Segments.size(); ++Index)
+    Ids.push_back(Prompt.Segments[Index].Id);
+  return Ids;
 }
 
 bool parseLoad(const std::string &Text, ReportedLoad &Load) {
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -45,8 +45,8 @@
   std::vector<PromptSegment> Segments;
 };
 
-/// The segments that other requests may share: all but the last.
-std::vector<PromptSegment> sharedSegments(const PromptInfo &Prompt);
+/// Ids of the segments that other requests may share: all but the last.
+std::vector<uint64_t> sharedSegments(const PromptInfo &Prompt);
 
 PromptInfo parsePromptInfo(const CallerRequest &Request,
                            const HeaderNames &Names);
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -97,6 +97,7 @@
   const HeaderNames &Names = this->Core.Settings.Names;
   this->Execution = ExecutionTracker(this->MatchedRoute->Repeats);
   this->Prompt = parsePromptInfo(this->Request, Names);
+  this->SharedSegments = sharedSegments(this->Prompt);
   this->Service =
       pickService(*this->MatchedRoute, hashToUnitInterval(this->RequestId));
   const std::string *Session = findHeader(this->Request.Headers, Names.Session);
@@ -181,7 +182,7 @@
 }
 
 bool Relay::mayRetry() const {
-  return this->Execution.mayRepeat() &&
+  return !this->RepeatsForbidden && this->Execution.mayRepeat() &&
          this->AttemptsSent < this->MatchedRoute->MaxAttempts &&
          this->AttemptsStarted<MaxAttemptsStarted &&this->DeadlineAt -
                                this->now()>
@@ -196,6 +197,8 @@
                       "no further attempt is allowed");
     return;
   }
+  if (!this->checkQuarantine())
+    return;
   ChoiceQuery Query = this->choiceQuery();
   Choice Chosen = this->Core.Registry.choose(Query);
   if (Chosen.Target == nullptr && this->AttemptsStarted > 0) {
@@ -235,6 +238,19 @@
   this->sendAttempt(Chosen, Query);
 }
 
+bool Relay::checkQuarantine() {
+  absl::Duration Remaining =
+      this->Core.Hooks.PromptRefusedFor(this->SharedSegments);
+  if (Remaining <= absl::ZeroDuration())
+    return true;
+  const char *Detail = "replicas ended under a segment of this prompt";
+  if (!this->StreamStarted && this->Execution.provablyNotExecuted())
+    this->refuse(RefusalKind::PromptQuarantined, Detail, Remaining);
+  else
+    this->failRequest(RefusalKind::UpstreamFailed, Detail);
+  return false;
+}
+
 PrefillRateEstimator &Relay::prefillRate() {
   return this->Core.PrefillRates[{this->Service, this->currentModel()}];
 }
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -74,6 +74,11 @@
   void endAttempt(Outcome Result);
   /// Gives up an answer that exceeds \p Limit bytes.
   void rejectOversized(Attempt &Source, const char *Part, size_t Limit);
+  /// Refuses the request if its prompt is in quarantine; returns false then.
+  bool checkQuarantine();
+  /// Reports a replica that ended while it began this answer.
+  void notePromptCrash(const Attempt &Source);
+  void notePromptAnswered(Attempt &Source);
   void armDeadline();
   void observe(Attempt &Source, AnswerEvent Event);
   Instant now() const { return this->Core.Timer.now(); }
@@ -90,6 +95,10 @@
   double VersionDraw = 0;
   std::string RequestId;
   PromptInfo Prompt;
+  /// Ids of the prompt's segments that other requests may share.
+  std::vector<uint64_t> SharedSegments;
+  /// Set when a repeat could end another replica.
+  bool RepeatsForbidden = false;
   CascadeQuery Cascade;
   size_t ModelIndex = 0;
   bool ChoosesModel = false;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -16,6 +16,14 @@
 
 namespace berylramp {
 
+namespace {
+
+/// A replica that ends under a prompt does so within this time after the first
+/// event of the answer.
+constexpr absl::Duration ProofTime = absl::Milliseconds(500);
+
+} // namespace
+
 void Relay::onAttemptHead(Attempt &Source, const HttpHead &Head) {
   const HeaderNames &Names = this->Core.Settings.Names;
   Instant Now = this->now();
@@ -180,9 +188,13 @@
     }
     if (Verdict == EventSequence::Verdict::Next) {
       EventBytes += Event.Bytes;
+      if (Source.EventCount == 0)
+        Source.FirstEventAt = this->now();
       Source.EventCount += 1;
     }
   }
+  if (Source.EventCount > 0 && this->now() - Source.FirstEventAt >= ProofTime)
+    this->notePromptAnswered(Source);
   const ExchangeSettings &Settings = this->Core.Settings;
   if (this->Current == AttemptGuard &&
       Source.Splitter.pendingBytes() > Settings.MaxEventBytes)
@@ -216,6 +228,7 @@
                           Outcome::ConnectionFailed, true);
     return;
   }
+  this->notePromptAnswered(Source);
   this->Core.Pool.release(Source.TargetReplica->Entry.Id, Source.Connection,
                           this->now());
   this->Core.Registry.onRequestEnded(*Source.TargetReplica, Outcome::Good,
@@ -283,11 +296,13 @@
   if (Cut) {
     Line["events"] = Source.EventCount;
     Line["segments"] = Json::Value(Json::arrayValue);
-    for (const PromptSegment &Segment : sharedSegments(this->Prompt))
-      Line["segments"].append(toHex(Segment.Id));
+    for (uint64_t Segment : this->SharedSegments)
+      Line["segments"].append(toHex(Segment));
   }
   logEvent(LogLevel::Info, "attempt_failed", Line);
   this->Core.Counters.countRetry(Reason);
+  if (Cut)
+    this->notePromptCrash(Source);
   if (Sent)
     this->observe(Source, AnswerEvent::Failure);
   this->endAttempt(Result);
@@ -298,6 +313,22 @@
   this->startNextAttempt();
 }
 
+void Relay::notePromptCrash(const Attempt &Source) {
+  bool JustBegan =
+      Source.EventCount == 0 || this->now() - Source.FirstEventAt < ProofTime;
+  if (this->SharedSegments.empty() || !JustBegan)
+    return;
+  this->RepeatsForbidden = !this->Core.Hooks.OnPromptCrash(
+      *Source.TargetReplica, this->SharedSegments);
+}
+
+void Relay::notePromptAnswered(Attempt &Source) {
+  if (Source.IsProof || this->SharedSegments.empty())
+    return;
+  Source.IsProof = true;
+  this->Core.Hooks.OnPromptAnswered(this->SharedSegments, Source.SentAt);
+}
+
 void Relay::observe(Attempt &Source, AnswerEvent Event) {
   if (Source.IsBad)
     return;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -23,6 +23,12 @@
 constexpr int WorkReportLayout = 101;
 /// Identifies a datagram with a report of a leaving replica.
 constexpr int LeavingReportLayout = 102;
+/// Identifies a datagram with a replica that ended, and with a segment in
+/// quarantine.
+constexpr int PromptCrashLayout = 103;
+constexpr int QuarantineLayout = 104;
+/// More segments of a prompt are not reported.
+constexpr size_t MaxReportedSegments = 32;
 /// Fits one Ethernet frame together with the protocol headers.
 constexpr size_t MaxDatagramBytes = 1350;
 /// A peer that was not seen for this long does not count as live. Equals eight
@@ -214,6 +220,45 @@
                              Report.StartedAtMs);
 }
 
+std::string encodePromptCrash(const PromptCrash &Crash) {
+  msgpack::sbuffer Bytes;
+  Packer Writer(Bytes);
+  size_t Count = std::min(Crash.Segments.size(), MaxReportedSegments);
+  Writer.pack_array(3);
+  Writer.pack(PromptCrashLayout);
+  Writer.pack(Crash.Replica);
+  Writer.pack_array(static_cast<uint32_t>(Count));
+  for (size_t Index = 0; Index < Count; ++Index)
+    Writer.pack(Crash.Segments[Index]);
+  return {Bytes.data(), Bytes.size()};
+}
+
+bool decodePromptCrash(const std::string &Datagram, PromptCrash &Crash) {
+  try {
+    msgpack::object_handle Handle = unpackBounded(Datagram);
+    const msgpack::object *Fields = arrayFields(Handle.get(), 3);
+    if (Fields[0].as<int>() != PromptCrashLayout ||
+        Fields[2].type != msgpack::type::ARRAY)
+      return false;
+    Crash.Replica = Fields[1].as<uint64_t>();
+    for (uint32_t Index = 0; Index < Fields[2].via.array.size; ++Index)
+      Crash.Segments.push_back(Fields[2].via.array.ptr[Index].as<uint64_t>());
+    return true;
+  } catch (const std::exception &) {
+    // The datagram is of another kind, which the caller decodes next.
+    return false;
+  }
+}
+
+std::string encodeQuarantine(uint64_t Segment) {
+  return encodeReplicaReport(QuarantineLayout, Segment, 0);
+}
+
+bool decodeQuarantine(const std::string &Datagram, uint64_t &Segment) {
+  int64_t Unused = 0;
+  return decodeReplicaReport(Datagram, QuarantineLayout, Segment, Unused);
+}
+
 std::string PeerTable::encode(Instant Now) {
   this->Self.Heartbeat += 1;
   std::vector<const Peer *> Others = this->live(Now);
