Report a crash only if the engine refuses connections

Cause: a reset connection was taken for the end of an engine.

Change: after a cut the host opens a connection; only a refusal counts as the end of the process.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -263,9 +263,11 @@
   /// when they are not.
   std::function<absl::Duration(const std::vector<uint64_t> &Segments)>
       PromptRefusedFor;
-  /// Called when a replica ended before or just after it began an answer;
-  /// returns whether the request may be sent to another replica.
-  std::function<bool(const Replica &, const std::vector<uint64_t> &Segments)>
+  /// Whether a request with these segments may be sent to another replica after
+  /// its answer was cut.
+  std::function<bool(const std::vector<uint64_t> &Segments)> MayRepeatPrompt;
+  /// Called when a replica ended before or just after it began an answer.
+  std::function<void(const Replica &, const std::vector<uint64_t> &Segments)>
       OnPromptCrash;
   /// Called when a replica wrote an answer for a while, or completely.
   std::function<void(const std::vector<uint64_t> &Segments, Instant SentAt)>
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -99,9 +99,12 @@
   Hooks.PromptRefusedFor = [this](const std::vector<uint64_t> &Segments) {
     return this->Quarantine->segments().refusedFor(Segments, this->Timer.now());
   };
+  Hooks.MayRepeatPrompt = [this](const std::vector<uint64_t> &Segments) {
+    return !this->Quarantine->segments().isSuspect(Segments);
+  };
   Hooks.OnPromptCrash = [this](const Replica &Ended,
                                const std::vector<uint64_t> &Segments) {
-    return this->Quarantine->onOwnCrash({Ended.IdHash, Segments});
+    this->Quarantine->onOwnCrash({Ended.IdHash, Segments});
   };
   Hooks.OnPromptAnswered = [this](const std::vector<uint64_t> &Segments,
                                   Instant SentAt) {
--- a/src/edge/quarantine_controller.cpp
+++ b/src/edge/quarantine_controller.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-bool QuarantineController::onOwnCrash(const PromptCrash &Crash) {
+void QuarantineController::onOwnCrash(const PromptCrash &Crash) {
   Instant Now = this->Callbacks.Now();
   double Seconds = absl::ToDoubleSeconds(Now - this->AllowanceAt);
   this->ReportAllowance = std::min(
@@ -36,7 +36,6 @@
   std::optional<uint64_t> Segment = this->Quarantine.onCrash(Crash, Now);
   if (Segment)
     this->onQuarantined(*Segment, "own");
-  return !this->Quarantine.isSuspect(Crash.Segments);
 }
 
 void QuarantineController::onPeerCrash(const PromptCrash &Crash) {
--- a/src/edge/quarantine_controller.h
+++ b/src/edge/quarantine_controller.h
@@ -28,9 +28,8 @@
   explicit QuarantineController(Ports Callbacks)
       : Callbacks(std::move(Callbacks)) {}
 
-  /// A replica ended under a request of this host; returns whether the request
-  /// may be repeated.
-  bool onOwnCrash(const PromptCrash &Crash);
+  /// A replica ended under a request of this host.
+  void onOwnCrash(const PromptCrash &Crash);
   void onPeerCrash(const PromptCrash &Crash);
   void onPeerQuarantine(uint64_t Segment);
   /// The store has a record of the segment, or no longer has it.
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "end_check.h"
 #include "relay.h"
 
 #include "absl/strings/numbers.h"
@@ -318,8 +319,13 @@
       Source.EventCount == 0 || this->now() - Source.FirstEventAt < ProofTime;
   if (this->SharedSegments.empty() || !JustBegan)
     return;
-  this->RepeatsForbidden = !this->Core.Hooks.OnPromptCrash(
-      *Source.TargetReplica, this->SharedSegments);
+  this->RepeatsForbidden =
+      !this->Core.Hooks.MayRepeatPrompt(this->SharedSegments);
+  checkEnded(this->Core.Loop, Source.TargetReplica->Entry.Address,
+             [Owner = this->CoreOwner, &Core = this->Core,
+              Ended = Source.TargetReplica, Segments = this->SharedSegments] {
+               Core.Hooks.OnPromptCrash(*Ended, Segments);
+             });
 }
 
 void Relay::notePromptAnswered(Attempt &Source) {
--- a/test/edge_quarantine_test.cpp
+++ b/test/edge_quarantine_test.cpp
@@ -138,6 +138,21 @@
   CHECK(this->crashesOf(this->callerEndpoint(), 5) == 0);
 }
 
+// Guards against refusals of sound prompts when connections are reset.
+TEST_CASE_METHOD(QuarantineFixture,
+                 "Connections that engines reset quarantine no segment") {
+  for (const auto &Engine : this->Engines)
+    Engine->Behavior = ReplicaBehavior::ResetsAfterRun;
+  for (int Round = 0; Round < 6; ++Round) {
+    this->callSound(this->callerEndpoint());
+    this->runFor(absl::Milliseconds(300));
+  }
+  for (const auto &Engine : this->Engines)
+    Engine->Behavior = ReplicaBehavior::Answers;
+  CHECK(this->runUntil(
+      [&] { return this->callSound(this->callerEndpoint()) == 200; }));
+}
+
 TEST_CASE_METHOD(QuarantineFixture,
                  "A host refuses a segment that ended engines at another one") {
   this->startSecond(true);
