Take slow streams as evidence, and failures apart from slow answers

Cause: a stream counted as good at its first event; its pace, its pauses, a passed deadline and a caller that left were no evidence. The few streams of a canary run on idle engines, so that their first events look fast.

Change: the mean time between events is compared with the usual one of the route (1.5 times and 5 ms), 1 s after the first event or at the end; a pause beyond the route's target, a deadline that passes and a caller that leaves late count as failures. Slow answers are common under load and would hide failures, so both are judged apart, each with its own strata.

Tests: streams slow between events revert a version (with 40 answers at most); slow answers do not hide failures.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -233,6 +233,8 @@
 enum class AnswerEvent {
   /// The first byte of an answer without an error, or the first event.
   FirstByte,
+  /// A stream has had several events, or has ended.
+  Events,
   /// An error, or an answer that did not come or broke off.
   Failure
 };
@@ -243,7 +245,7 @@
   /// Name of the request's route.
   std::string Route;
   AnswerEvent Event = AnswerEvent::FirstByte;
-  /// Time since the request was sent.
+  /// Time since the request was sent; for Events, the mean time between events.
   absl::Duration Time;
   /// An event of the same attempt was observed before.
   bool Counted = false;
--- a/include/berylramp/rollout.h
+++ b/include/berylramp/rollout.h
@@ -28,6 +28,10 @@
   absl::Duration TimeLimit = absl::Seconds(30);
 };
 
+/// What makes an answer bad. Both are judged apart: slow answers are common
+/// under load, and would hide failures.
+enum class AnswerFault { Failure, Slow };
+
 /// Answers of one version. An answer is counted once, and is bad if it failed
 /// or was much slower than usual for its route.
 struct AnswerTally {
@@ -41,12 +45,16 @@
   AnswerTally &operator+=(const AnswerTally &Other);
 };
 
-/// Routes are divided into this many strata by a hash of their names, so that
-/// the size of a report does not depend on the number of routes.
-inline constexpr size_t StratumCount = 8;
+/// Routes are divided into this many groups by a hash of their names, so that
+/// the size of a report does not depend on the number of routes. Each has one
+/// stratum for failures, and another one for slow answers behind those.
+inline constexpr size_t RouteGroups = 8;
+inline constexpr size_t StratumCount = 2 * RouteGroups;
 using StratifiedTally = std::array<AnswerTally, StratumCount>;
 
-size_t stratumOf(const std::string &Route);
+size_t stratumOf(const std::string &Route, AnswerFault Fault);
+AnswerTally sumOf(const StratifiedTally &Strata, AnswerFault Fault);
+/// All answers, with the bad ones of either kind and the tolerance of failures.
 AnswerTally sumOf(const StratifiedTally &Strata);
 StratifiedTally &operator+=(StratifiedTally &Sum, const StratifiedTally &Other);
 /// The increase from \p Before to \p Now. Counts that fell, because the reports
@@ -59,18 +67,27 @@
 struct RouteBaseline {
   /// Answers with decaying weights.
   double Answers = 0;
-  double BadAnswers = 0;
+  double FailedAnswers = 0;
+  double SlowAnswers = 0;
   /// Mean logarithm of the time to the first byte in milliseconds.
   double LogFirstByteMs = 0;
   double FirstByteSamples = 0;
+  /// The same for the time between two events of a stream.
+  double LogEventMs = 0;
+  double EventSamples = 0;
 };
 
 void countAnswer(RouteBaseline &Usual);
-void countBadAnswer(RouteBaseline &Usual);
+void countBadAnswer(RouteBaseline &Usual,
+                    AnswerFault Fault = AnswerFault::Failure);
 void addFirstByte(RouteBaseline &Usual, absl::Duration Time);
+/// Adds the mean time between the events of a stream.
+void addEventInterval(RouteBaseline &Usual, absl::Duration Time);
+bool isSlowStream(const RouteBaseline &Usual, absl::Duration EventInterval);
 bool isSlowFirstByte(const RouteBaseline &Usual, absl::Duration Time);
 /// Counts an answer of the target of a roll-out on a route.
-void countTargetAnswer(AnswerTally &Tally, const RouteBaseline &Usual);
+void countTargetAnswer(AnswerTally &Tally, const RouteBaseline &Usual,
+                       AnswerFault Fault = AnswerFault::Failure);
 
 /// Answer counts of a roll-out, summed over all hosts.
 struct RolloutEvidence {
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -118,24 +118,30 @@
   RouteBaseline &Usual =
       this->Baselines[{Observation.Service, Observation.Route}];
   bool Failed = Observation.Event == AnswerEvent::Failure;
-  bool Bad = Failed || isSlowFirstByte(Usual, Observation.Time);
+  bool HasEvents = Observation.Event == AnswerEvent::Events;
+  bool Bad = Failed || (HasEvents ? isSlowStream(Usual, Observation.Time)
+                                  : isSlowFirstByte(Usual, Observation.Time));
+  AnswerFault Fault = Failed ? AnswerFault::Failure : AnswerFault::Slow;
   auto Found = this->Entries.find(Observation.Service);
   Entry *Rollout = Found == this->Entries.end() ? nullptr : &Found->second;
   bool IsTarget =
       Rollout != nullptr && Observation.Version == Rollout->Order.Target;
   if (IsTarget && Rollout->State != RolloutState::Complete) {
-    AnswerTally &Tally = Rollout->Target[stratumOf(Observation.Route)];
     if (!Observation.Counted)
-      countTargetAnswer(Tally, Usual);
-    Tally.Bad += Bad ? 1 : 0;
+      for (AnswerFault Kind : {AnswerFault::Failure, AnswerFault::Slow})
+        countTargetAnswer(Rollout->Target[stratumOf(Observation.Route, Kind)],
+                          Usual, Kind);
+    Rollout->Target[stratumOf(Observation.Route, Fault)].Bad += Bad ? 1 : 0;
     return Bad;
   }
   if (!Observation.Counted)
     countAnswer(Usual);
-  if (!Failed)
+  if (HasEvents)
+    addEventInterval(Usual, Observation.Time);
+  else if (!Failed)
     addFirstByte(Usual, Observation.Time);
   if (Bad)
-    countBadAnswer(Usual);
+    countBadAnswer(Usual, Fault);
   if (Rollout != nullptr && !IsTarget) {
     Rollout->Others.Count += Observation.Counted ? 0 : 1;
     Rollout->Others.Bad += Bad ? 1 : 0;
--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -106,6 +106,7 @@
   /// Events of a stream that were forwarded.
   int EventCount = 0;
   Instant FirstEventAt;
+  bool EventsObserved = false;
   /// The replica has written long enough to show that it survives the prompt.
   bool IsProof = false;
   bool Observed = false;
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -81,6 +81,8 @@
   void notePromptAnswered(Attempt &Source);
   void armDeadline();
   void observe(Attempt &Source, AnswerEvent Event);
+  /// Observes the pace of a stream once, when enough of it was received.
+  void observeEvents(Attempt &Source, bool Ended);
   Instant now() const { return this->Core.Timer.now(); }
 
   std::shared_ptr<void> CoreOwner;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -22,6 +22,10 @@
 /// A replica that ends under a prompt does so within this time after the first
 /// event of the answer.
 constexpr absl::Duration ProofTime = absl::Milliseconds(500);
+/// Time after the first event, and number of events, from which on the pace of
+/// a stream is evidence.
+constexpr absl::Duration EventsTime = absl::Seconds(1);
+constexpr int MinEvents = 3;
 
 } // namespace
 
@@ -196,15 +200,19 @@
   }
   if (Source.EventCount > 0 && this->now() - Source.FirstEventAt >= ProofTime)
     this->notePromptAnswered(Source);
+  this->observeEvents(Source, false);
   const ExchangeSettings &Settings = this->Core.Settings;
   if (this->Current == AttemptGuard &&
       Source.Splitter.pendingBytes() > Settings.MaxEventBytes)
     this->rejectOversized(Source, "event", Settings.MaxEventBytes);
   if (EventBytes.empty() || this->Finished)
     return;
-  if (this->StreamStarted)
-    this->MaxEventGap =
-        std::max(this->MaxEventGap, this->now() - this->LastEventAt);
+  if (this->StreamStarted) {
+    absl::Duration Gap = this->now() - this->LastEventAt;
+    this->MaxEventGap = std::max(this->MaxEventGap, Gap);
+    if (Gap > this->MatchedRoute->EventGapTarget && Source.EventCount > 1)
+      this->observe(Source, AnswerEvent::Failure);
+  }
   this->LastEventAt = this->now();
   if (!this->StreamStarted) {
     this->StreamStarted = true;
@@ -230,6 +238,7 @@
     return;
   }
   this->notePromptAnswered(Source);
+  this->observeEvents(Source, true);
   this->Core.Pool.release(Source.TargetReplica->Entry.Id, Source.Connection,
                           this->now());
   this->Core.Registry.onRequestEnded(*Source.TargetReplica, Outcome::Good,
@@ -335,6 +344,15 @@
   this->Core.Hooks.OnPromptAnswered(this->SharedSegments, Source.SentAt);
 }
 
+void Relay::observeEvents(Attempt &Source, bool Ended) {
+  absl::Duration Time = this->now() - Source.FirstEventAt;
+  bool IsDue = Time >= EventsTime || Ended;
+  if (Source.EventsObserved || !IsDue || Source.EventCount < MinEvents)
+    return;
+  Source.EventsObserved = true;
+  this->observe(Source, AnswerEvent::Events);
+}
+
 void Relay::observe(Attempt &Source, AnswerEvent Event) {
   if (Source.IsBad)
     return;
@@ -343,7 +361,10 @@
   Observation.Version = Source.TargetReplica->Entry.Version;
   Observation.Route = this->MatchedRoute->Name;
   Observation.Event = Event;
-  Observation.Time = this->now() - Source.SentAt;
+  Observation.Time = Event == AnswerEvent::Events
+                         ? (this->now() - Source.FirstEventAt) /
+                               std::max(1, Source.EventCount - 1)
+                         : this->now() - Source.SentAt;
   Observation.Counted = Source.Observed;
   Source.Observed = true;
   Source.IsBad = this->Core.Hooks.ObserveAnswer(Observation);
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -61,6 +61,8 @@
 
 void Relay::onDeadline() {
   bool Sent = this->Current != nullptr;
+  if (Sent)
+    this->observe(*this->Current, AnswerEvent::Failure);
   this->endAttempt(Outcome::Neutral);
   if (this->StreamStarted) {
     this->CallerResponder->abort();
@@ -75,6 +77,11 @@
 }
 
 void Relay::onCallerLeft() {
+  // A caller that leaves late has waited for the replica in vain.
+  bool Late = !this->StreamStarted && this->now() - this->Request.ArrivedAt >
+                                          this->MatchedRoute->ResponseTarget;
+  if (Late && this->Current != nullptr)
+    this->observe(*this->Current, AnswerEvent::Failure);
   this->endAttempt(Outcome::Neutral);
   this->finish("caller_left", 0, "");
 }
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -50,9 +50,13 @@
 /// and longer by this margin, below which network latency dominates.
 constexpr double SlowdownFactor = 3.0;
 constexpr absl::Duration SlowdownMargin = absl::Milliseconds(20);
+/// The same for the mean time between events. It varies less than the time to
+/// the first byte, and the few streams of a canary are faster than usual.
+constexpr double StreamSlowdownFactor = 1.5;
+constexpr absl::Duration StreamSlowdownMargin = absl::Milliseconds(5);
 /// Number of answers that a baseline averages over.
 constexpr double BaselineAnswers = 60;
-constexpr double MinFirstByteSamples = 5;
+constexpr double MinTimeSamples = 5;
 /// Weight and bad rate of the assumption about a route without answers.
 constexpr double PriorAnswers = 3;
 constexpr double PriorBadRate = 0.1;
@@ -63,20 +67,25 @@
 /// of the plan in between.
 constexpr double FirstHalfFraction = 0.52;
 constexpr double PlanningFraction = 0.4;
-/// Time of full traffic after which the roll-out is recorded as complete, but
-/// not before the first and not after the second of these times before the time
-/// limit, if at least the minimum time of full traffic has passed.
-constexpr absl::Duration FullTrafficTime = absl::Milliseconds(1700);
-constexpr absl::Duration EarliestCompletionLead = absl::Milliseconds(600);
-constexpr absl::Duration LatestCompletionLead = absl::Milliseconds(350);
+/// Time before the time limit at which the roll-out is recorded as complete, if
+/// the minimum time of full traffic has passed.
+constexpr absl::Duration CompletionLead = absl::Milliseconds(600);
 constexpr absl::Duration MinFullTrafficTime = absl::Milliseconds(500);
 
-double toleratedBadRate(const RouteBaseline &Usual) {
-  double Rate = (Usual.BadAnswers + PriorBadRate * PriorAnswers) /
-                (Usual.Answers + PriorAnswers);
+double toleratedBadRate(const RouteBaseline &Usual, AnswerFault Fault) {
+  double Bad =
+      Fault == AnswerFault::Failure ? Usual.FailedAnswers : Usual.SlowAnswers;
+  double Rate =
+      (Bad + PriorBadRate * PriorAnswers) / (Usual.Answers + PriorAnswers);
   return std::min(1.0, BadRateFactor * Rate + BadRateMargin);
 }
 
+void addLogSample(double &Mean, double &Samples, absl::Duration Time) {
+  Samples = std::min(Samples + 1, BaselineAnswers);
+  double Sample = std::log(std::max(1.0, absl::ToDoubleMilliseconds(Time)));
+  Mean += (Sample - Mean) / Samples;
+}
+
 int64_t toMilli(double Value) {
   return static_cast<int64_t>(std::lround(Value * 1000));
 }
@@ -108,22 +117,31 @@
   return *this;
 }
 
-size_t stratumOf(const std::string &Route) {
-  return stableHash(Route) % StratumCount;
+size_t stratumOf(const std::string &Route, AnswerFault Fault) {
+  size_t Group = stableHash(Route) % RouteGroups;
+  return Fault == AnswerFault::Failure ? Group : RouteGroups + Group;
 }
 
-AnswerTally sumOf(const StratifiedTally &Strata) {
+AnswerTally sumOf(const StratifiedTally &Strata, AnswerFault Fault) {
+  size_t First = Fault == AnswerFault::Failure ? 0 : RouteGroups;
   AnswerTally Sum;
-  for (const AnswerTally &Tally : Strata)
-    Sum += Tally;
+  for (size_t Group = 0; Group < RouteGroups; ++Group)
+    Sum += Strata[First + Group];
+  return Sum;
+}
+
+AnswerTally sumOf(const StratifiedTally &Strata) {
+  AnswerTally Sum = sumOf(Strata, AnswerFault::Failure);
+  Sum.Bad += sumOf(Strata, AnswerFault::Slow).Bad;
   return Sum;
 }
 
 namespace {
 
 bool exceedsTolerance(const StratifiedTally &Strata) {
-  if (exceedsTolerance(sumOf(Strata), DeviationsOfAll))
-    return true;
+  for (AnswerFault Fault : {AnswerFault::Failure, AnswerFault::Slow})
+    if (exceedsTolerance(sumOf(Strata, Fault), DeviationsOfAll))
+      return true;
   return std::any_of(Strata.begin(), Strata.end(),
                      [](const AnswerTally &Stratum) {
                        return exceedsTolerance(Stratum, DeviationsOfStratum);
@@ -131,7 +149,9 @@
 }
 
 bool isDoubtful(const StratifiedTally &Strata) {
-  return isDoubtful(sumOf(Strata), DoubtDeviationsOfAll) ||
+  return isDoubtful(sumOf(Strata, AnswerFault::Failure),
+                    DoubtDeviationsOfAll) ||
+         isDoubtful(sumOf(Strata, AnswerFault::Slow), DoubtDeviationsOfAll) ||
          std::any_of(Strata.begin(), Strata.end(),
                      [](const AnswerTally &Stratum) {
                        return isDoubtful(Stratum, DoubtDeviationsOfStratum);
@@ -150,30 +170,44 @@
 void countAnswer(RouteBaseline &Usual) {
   double Kept = 1 - 1 / BaselineAnswers;
   Usual.Answers = Usual.Answers * Kept + 1;
-  Usual.BadAnswers *= Kept;
+  Usual.FailedAnswers *= Kept;
+  Usual.SlowAnswers *= Kept;
 }
 
-void countBadAnswer(RouteBaseline &Usual) { Usual.BadAnswers += 1; }
+void countBadAnswer(RouteBaseline &Usual, AnswerFault Fault) {
+  if (Fault == AnswerFault::Failure)
+    Usual.FailedAnswers += 1;
+  else
+    Usual.SlowAnswers += 1;
+}
 
 void addFirstByte(RouteBaseline &Usual, absl::Duration Time) {
-  Usual.FirstByteSamples =
-      std::min(Usual.FirstByteSamples + 1, BaselineAnswers);
-  double Sample = std::log(std::max(1.0, absl::ToDoubleMilliseconds(Time)));
-  Usual.LogFirstByteMs +=
-      (Sample - Usual.LogFirstByteMs) / Usual.FirstByteSamples;
+  addLogSample(Usual.LogFirstByteMs, Usual.FirstByteSamples, Time);
+}
+
+void addEventInterval(RouteBaseline &Usual, absl::Duration Time) {
+  addLogSample(Usual.LogEventMs, Usual.EventSamples, Time);
 }
 
 bool isSlowFirstByte(const RouteBaseline &Usual, absl::Duration Time) {
-  if (Usual.FirstByteSamples < MinFirstByteSamples)
-    return false;
-  absl::Duration Typical = absl::Milliseconds(std::exp(Usual.LogFirstByteMs));
-  return Time > Typical * SlowdownFactor + SlowdownMargin;
+  return Usual.FirstByteSamples >= MinTimeSamples &&
+         Time > absl::Milliseconds(std::exp(Usual.LogFirstByteMs)) *
+                        SlowdownFactor +
+                    SlowdownMargin;
+}
+
+bool isSlowStream(const RouteBaseline &Usual, absl::Duration EventInterval) {
+  return Usual.EventSamples >= MinTimeSamples &&
+         EventInterval > absl::Milliseconds(std::exp(Usual.LogEventMs)) *
+                                 StreamSlowdownFactor +
+                             StreamSlowdownMargin;
 }
 
 // The tolerance of each answer depends on its route alone, so that a different
 // mix of routes does not make a version look better or worse.
-void countTargetAnswer(AnswerTally &Tally, const RouteBaseline &Usual) {
-  double Rate = toleratedBadRate(Usual);
+void countTargetAnswer(AnswerTally &Tally, const RouteBaseline &Usual,
+                       AnswerFault Fault) {
+  double Rate = toleratedBadRate(Usual, Fault);
   Tally.Count += 1;
   Tally.ToleratedMilli += toMilli(Rate);
   Tally.VarianceMilli += toMilli(Rate * (1 - Rate));
@@ -252,10 +286,9 @@
   if (Elapsed < Schedule.FullTrafficAt ||
       Target.Count - Target.Bad < MinGoodAnswers)
     return {Schedule.Canary, RolloutState::InProgress};
-  absl::Duration CompleteAt = std::min(Schedule.FullTrafficAt + FullTrafficTime,
-                                       Order.TimeLimit - LatestCompletionLead);
-  CompleteAt = std::max({CompleteAt, Order.TimeLimit - EarliestCompletionLead,
-                         Schedule.FullTrafficAt + MinFullTrafficTime});
+  absl::Duration CompleteAt =
+      std::max(Order.TimeLimit - CompletionLead,
+               Schedule.FullTrafficAt + MinFullTrafficTime);
   // The old version is gone once the roll-out is complete, so a doubtful target
   // keeps all requests until it is found bad or good.
   if (Elapsed < CompleteAt || isTargetDoubtful(Evidence))
--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -1,6 +1,7 @@
 //===- edge_path_test.cpp - Requests through the daemon -------------------===//
 
 #include "edge_fixture.h"
+#include "forwarding.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -395,6 +396,46 @@
   CHECK(Bad->ExecutedRequests.size() == Before);
 }
 
+// Guards against a version that is kept although its streams are several times
+// slower: their first events come in time.
+TEST_CASE_METHOD(
+    ServingFixture,
+    "A version whose streams are slow between events is reverted") {
+  auto Slow = std::make_shared<standin::Replica>(
+      this->Loop, this->Timer, "engine-9", "engine", "zone-a");
+  REQUIRE(Slow->listen().ok());
+  Slow->EventInterval = absl::Milliseconds(60);
+  this->Store->put("keyed.servers", Slow->id(), Slow->entry("ready", "v2"));
+  this->Store->put("keyed.op", "rollout/engine",
+                   R"({"service":"engine","target":"v2","durationS":60})");
+  REQUIRE(this->runUntil([&] {
+    return absl::StrContains(
+        this->Store->newest("keyed.status", "rollout/engine"), "in_progress");
+  }));
+  for (int Count = 0; Count < 40; ++Count)
+    this->call("/stream/a", absl::StrCat("usual", Count));
+  // Request ids that the canary share sends to the target.
+  constexpr double CanaryDraw = 0.01;
+  int Id = 0;
+  auto NextTargetId = [&] {
+    std::string Text;
+    do {
+      Id += 1;
+      Text = absl::StrCat("target", Id);
+    } while (hashToUnitInterval(absl::StrCat("version/", Text)) > CanaryDraw);
+    return Text;
+  };
+  constexpr size_t MaxSlowAnswers = 40;
+  CHECK(this->runUntil([&] {
+    this->call("/stream/a", NextTargetId());
+    return Slow->ExecutedRequests.size() > MaxSlowAnswers ||
+           absl::StrContains(
+               this->Store->newest("keyed.status", "rollout/engine"),
+               "reverted");
+  }));
+  CHECK(Slow->ExecutedRequests.size() <= MaxSlowAnswers);
+}
+
 TEST_CASE_METHOD(ServingFixture, "A good version completes") {
   auto Good = std::make_shared<standin::Replica>(
       this->Loop, this->Timer, "engine-9", "engine", "zone-a");
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -157,6 +157,25 @@
   CHECK(isTargetBad(Evidence));
 }
 
+TEST_CASE("Answers that are usually slow do not hide failures") {
+  RouteBaseline Usual = makeBaseline(0);
+  for (int Count = 0; Count < 30; ++Count)
+    countBadAnswer(Usual, AnswerFault::Slow);
+  RolloutEvidence Evidence;
+  for (int Count = 0; Count < 30; ++Count)
+    for (AnswerFault Fault : {AnswerFault::Failure, AnswerFault::Slow})
+      countTargetAnswer(Evidence.Target[stratumOf("route", Fault)], Usual,
+                        Fault);
+  AnswerTally &Slow = Evidence.Target[stratumOf("route", AnswerFault::Slow)];
+  AnswerTally &Failed =
+      Evidence.Target[stratumOf("route", AnswerFault::Failure)];
+  Slow.Bad = 10;
+  CHECK_FALSE(isTargetBad(Evidence));
+  Slow.Bad = 0;
+  Failed.Bad = 10;
+  CHECK(isTargetBad(Evidence));
+}
+
 TEST_CASE("A route that fails on every version does not hide a fault") {
   RolloutEvidence Evidence = makeEvidence(0, 100, 1);
   RouteBaseline Usual = makeBaseline(0);
