Name what the check of a suspect segment states

'isExplained' returned true when no other suspect explains the crashes. Renamed; no logic changes. Measured: the tests of the quarantine pass.

--- a/include/berylramp/quarantine.h
+++ b/include/berylramp/quarantine.h
@@ -56,7 +56,7 @@
     absl::flat_hash_map<uint64_t, int> Shared;
   };
   void count(uint64_t Segment, const PromptCrash &Crash, Instant Now);
-  bool isExplained(uint64_t Segment, const Suspect &Candidate) const;
+  bool explainsCrashesAlone(uint64_t Segment, const Suspect &Candidate) const;
   void dropOldest();
 
   absl::flat_hash_map<uint64_t, Suspect> Suspects;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -50,7 +50,7 @@
     const Suspect &Candidate = this->Suspects[*Segment];
     if (Candidate.Crashes < MinCrashes ||
         Candidate.Replicas.size() < MinReplicas ||
-        !this->isExplained(*Segment, Candidate))
+        !this->explainsCrashesAlone(*Segment, Candidate))
       continue;
     uint64_t Guilty = *Segment;
     this->add(Guilty, Now);
@@ -76,9 +76,9 @@
       Counted.Shared[Other] += 1;
 }
 
-// Whether no other suspect explains all crashes of the candidate as well.
-bool PromptQuarantine::isExplained(uint64_t Segment,
-                                   const Suspect &Candidate) const {
+// False while another suspect took part in the same crashes.
+bool PromptQuarantine::explainsCrashesAlone(uint64_t Segment,
+                                            const Suspect &Candidate) const {
   if (Candidate.Crashes >= MinCrashesOfGroup)
     return true;
   return std::none_of(Candidate.Shared.begin(), Candidate.Shared.end(),
