--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -185,6 +185,8 @@
   std::string ReplicaLoad;
   /// "1" in the answers of a replica that is shutting down.
   std::string ReplicaLeaving;
+  /// Requests per second that the replica takes from all hosts together.
+  std::string ReplicaLimit;
   /// States that the replica did not execute the request.
   std::string NotExecuted;
   std::string Model;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -121,6 +121,9 @@
   /// Requests of this host in progress.
   int InFlight = 0;
   ReportedLoad Load;
+  /// Requests per second that the replica takes from all hosts together, as its
+  /// last answer to this host stated.
+  std::optional<double> NamedLimit;
   /// Requests that this host sent after the last load report.
   int SentSinceReport = 0;
   int ConsecutiveFailures = 0;
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -156,6 +156,14 @@
          absl::SimpleAtoi(Values[2], &Load.Slots);
 }
 
+std::optional<double> parseLimit(const std::string &Text) {
+  double PerSecond = 0;
+  if (!absl::SimpleAtod(Text, &PerSecond) || !std::isfinite(PerSecond) ||
+      PerSecond < 0)
+    return std::nullopt;
+  return PerSecond;
+}
+
 PauseRequest parsePause(const std::string &Text) {
   PauseRequest Pause;
   double Seconds = 0;
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -9,6 +9,7 @@
 #define BERYLRAMP_EXCHANGE_FORWARDING_H
 
 #include "http_parse.h"
+#include <optional>
 
 namespace berylramp {
 
@@ -54,6 +55,10 @@
 /// Parses "running,waiting,slots"; returns false for any other form.
 bool parseLoad(const std::string &Text, ReportedLoad &Load);
 
+/// Parses a limit in requests per second; nothing if \p Text is no number or is
+/// negative.
+std::optional<double> parseLimit(const std::string &Text);
+
 /// A replica's request to receive nothing for a while.
 struct PauseRequest {
   absl::Duration Length = absl::ZeroDuration();
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -251,6 +251,15 @@
   return false;
 }
 
+void Relay::logLimitedAttempt(const Replica &Target) const {
+  Json::Value Line(Json::objectValue);
+  Line["request"] = this->RequestId;
+  Line["replica"] = Target.Entry.Id.text();
+  Line["per_second"] = *Target.NamedLimit;
+  Line["attempt"] = this->AttemptsStarted;
+  logEvent(LogLevel::Info, "limited_attempt", Line);
+}
+
 PrefillRateEstimator &Relay::prefillRate() {
   return this->Core.PrefillRates[{this->Service, this->currentModel()}];
 }
@@ -293,6 +302,8 @@
           ? this->MatchedRoute->ResponseTarget * FirstByteTimeoutTargets
           : absl::ZeroDuration();
   NewAttempt->Selection = Chosen;
+  if (TargetReplica->NamedLimit)
+    this->logLimitedAttempt(*TargetReplica);
   this->Core.Registry.onRequestStarted(Chosen, Query);
   if (Chosen.PrefillTime > absl::ZeroDuration())
     this->Core.Hooks.OnWorkSent(*TargetReplica, Chosen.PrefillTime);
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -46,6 +46,7 @@
   void resolveRequest();
   void startNextAttempt();
   void sendAttempt(const Choice &Chosen, const ChoiceQuery &Query);
+  void logLimitedAttempt(const Replica &Target) const;
   PrefillRateEstimator &prefillRate();
   ChoiceQuery choiceQuery() const;
   ModelId currentModel() const;
@@ -60,6 +61,9 @@
   void forwardAnswer(Attempt &Source);
   /// Applies what the replica states about itself in \p Head.
   void noteReplicaState(const Attempt &Source, const HttpHead &Head);
+  /// Applies the limit that the replica names in \p Head, or that it names
+  /// none.
+  void noteReplicaLimit(const Attempt &Source, const HttpHead &Head);
   bool shouldEscalate(const HttpHead &Head);
   bool largerModelIsLate();
   /// \p RetryAfter is used when the request was provably not executed; zero
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -99,6 +99,7 @@
     if (this->Core.Registry.markLeaving(Id, this->now()))
       this->Core.Hooks.OnReplicaLeaving(*Source.TargetReplica);
   }
+  this->noteReplicaLimit(Source, Head);
   const std::string *RetryAfter = findHeader(Head.Headers, "Retry-After");
   if (Head.Status != 503 || RetryAfter == nullptr)
     return;
@@ -114,6 +115,25 @@
            Line);
 }
 
+void Relay::noteReplicaLimit(const Attempt &Source, const HttpHead &Head) {
+  const std::string *Text =
+      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLimit);
+  std::optional<double> Limit = Text ? parseLimit(*Text) : std::nullopt;
+  Replica &Target = *Source.TargetReplica;
+  if (Limit == Target.NamedLimit)
+    return;
+  Target.NamedLimit = Limit;
+  Json::Value Line(Json::objectValue);
+  Line["request"] = this->RequestId;
+  Line["replica"] = Target.Entry.Id.text();
+  Line["source"] = "answer";
+  if (Limit)
+    Line["per_second"] = *Limit;
+  else if (Text != nullptr)
+    Line["unusable_value"] = *Text;
+  logEvent(LogLevel::Info, "replica_limit", Line);
+}
+
 bool Relay::largerModelIsLate() {
   size_t CurrentIndex = this->ModelIndex;
   this->ModelIndex = nextModel(this->Cascade, CurrentIndex);
