--- a/test/edge_fixture.cpp
+++ b/test/edge_fixture.cpp
@@ -114,13 +114,30 @@
 }
 
 void EdgeFixture::start(EdgeSettings Settings) {
+  this->Daemon = this->startDaemon(this->Config, Settings);
+}
+
+std::unique_ptr<EdgeDaemon>
+EdgeFixture::startDaemon(const HostConfig &HostSettings,
+                         const EdgeSettings &Settings) {
   EdgePlatform Platform;
   Platform.Store = platform::createStorePort(this->Loop, this->Timer,
-                                             this->Config.Store, Settings);
+                                             HostSettings.Store, Settings);
   Platform.Codec = platform::codec();
-  this->Daemon = std::make_unique<EdgeDaemon>(
-      this->Loop, this->Timer, this->Config, std::move(Platform), Settings);
-  REQUIRE(this->Daemon->start().ok());
+  auto Started = std::make_unique<EdgeDaemon>(
+      this->Loop, this->Timer, HostSettings, std::move(Platform), Settings);
+  REQUIRE(Started->start().ok());
+  return Started;
+}
+
+void EdgeFixture::awaitReady(const Endpoint &Ready) {
+  REQUIRE(this->runUntil([&] {
+    RawCaller Probe(this->Loop, Ready);
+    Probe.send("GET /berylramp/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->runUntil(
+        [&] { return Probe.hasCompleteAnswer() || Probe.isClosed(); });
+    return Probe.status() == 200;
+  }));
 }
 
 bool EdgeFixture::runUntil(const std::function<bool()> &Condition,
@@ -166,13 +183,27 @@
   this->putTable(1, {"key-1"});
   this->putReplicas();
   this->start();
-  REQUIRE(this->runUntil([&] {
-    RawCaller Probe(this->Loop, this->Config.Ready);
-    Probe.send("GET /berylramp/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
-    this->runUntil(
-        [&] { return Probe.hasCompleteAnswer() || Probe.isClosed(); });
-    return Probe.status() == 200;
-  }));
+  this->awaitReady(this->Config.Ready);
+}
+
+void TwoHostFixture::startSecond(bool WithLinks) {
+  std::vector<int> Ports = {
+      this->Config.Callers.Port, this->Config.Ready.Port,
+      this->Config.Directory.Port, this->Config.Peers.Port,
+      WithLinks ? this->Config.GossipPort : standin::findFreePort()};
+  absl::StatusOr<HostConfig> Decoded =
+      platform::decodeSettings(standin::sampleSettings(
+          "host-2", "zone-a", "127.0.0.2", Ports, this->Store->address(),
+          absl::StrCat("127.0.0.1:", this->Config.Peers.Port)));
+  REQUIRE(Decoded.ok());
+  this->SecondConfig = *Decoded;
+  if (!WithLinks) {
+    this->SecondConfig.Seeds.clear();
+    this->SecondConfig.GossipPort = Ports[4];
+    this->SecondConfig.Peers.Port = 0;
+  }
+  this->Second = this->startDaemon(this->SecondConfig, EdgeSettings());
+  this->awaitReady(this->SecondConfig.Ready);
 }
 
 void ServingFixture::setBehavior(standin::ReplicaBehavior NewBehavior) {
--- a/test/edge_fixture.h
+++ b/test/edge_fixture.h
@@ -64,6 +64,10 @@
   void runFor(absl::Duration Time);
   void putTable(int64_t Version, const std::vector<std::string> &Keys);
   void putReplicas(const std::string &State = "ready");
+  std::unique_ptr<EdgeDaemon> startDaemon(const HostConfig &HostSettings,
+                                          const EdgeSettings &Settings);
+  /// Waits until the host whose readiness endpoint is \p Ready is ready.
+  void awaitReady(const Endpoint &Ready);
   /// Sends a request with attempt id \p Id on a new connection and waits for
   /// its complete answer or the end of the connection.
   RawCaller call(const std::string &Path, const std::string &Id,
@@ -93,6 +97,18 @@
   void setBehavior(standin::ReplicaBehavior NewBehavior);
 };
 
+/// A serving host and a second one with the same store.
+struct TwoHostFixture : ServingFixture {
+  ~TwoHostFixture() { this->Second.reset(); }
+
+  /// Starts the second host and waits until it is ready; without links it
+  /// reaches no other host.
+  void startSecond(bool WithLinks);
+
+  HostConfig SecondConfig;
+  std::unique_ptr<EdgeDaemon> Second;
+};
+
 } // namespace berylramp
 
 #endif // BERYLRAMP_TEST_EDGE_FIXTURE_H
--- a/test/edge_quarantine_test.cpp
+++ b/test/edge_quarantine_test.cpp
@@ -20,39 +20,14 @@
 
 /// A serving host, a second one with the same store, and engines that end on
 /// prompts with the segment "bad1".
-struct QuarantineFixture : ServingFixture {
+struct QuarantineFixture : TwoHostFixture {
   QuarantineFixture() {
     for (const auto &Engine : this->Engines)
       Engine->CrashingSegment = "bad1";
   }
-  ~QuarantineFixture() { this->Second.reset(); }
 
-  /// Starts a second host; without links it reaches no other host.
   void startSecond(bool WithLinks) {
-    std::vector<int> Ports = {
-        this->Config.Callers.Port, this->Config.Ready.Port,
-        this->Config.Directory.Port, this->Config.Peers.Port,
-        WithLinks ? this->Config.GossipPort : standin::findFreePort()};
-    absl::StatusOr<HostConfig> Decoded =
-        platform::decodeSettings(standin::sampleSettings(
-            "host-2", "zone-a", "127.0.0.2", Ports, this->Store->address(),
-            absl::StrCat("127.0.0.1:", this->Config.Peers.Port)));
-    REQUIRE(Decoded.ok());
-    this->SecondConfig = *Decoded;
-    if (!WithLinks) {
-      this->SecondConfig.Seeds.clear();
-      this->SecondConfig.GossipPort = Ports[4];
-      this->SecondConfig.Peers.Port = 0;
-    }
-    EdgeSettings Settings;
-    EdgePlatform Platform;
-    Platform.Store = platform::createStorePort(
-        this->Loop, this->Timer, this->SecondConfig.Store, Settings);
-    Platform.Codec = platform::codec();
-    this->Second = std::make_unique<EdgeDaemon>(this->Loop, this->Timer,
-                                                this->SecondConfig,
-                                                std::move(Platform), Settings);
-    REQUIRE(this->Second->start().ok());
+    TwoHostFixture::startSecond(WithLinks);
     REQUIRE(this->runUntil(
         [&] { return this->callSound(this->SecondConfig.Callers) == 200; }));
   }
@@ -115,8 +90,6 @@
     return Good;
   }
 
-  HostConfig SecondConfig;
-  std::unique_ptr<EdgeDaemon> Second;
   std::string LastAnswer;
   int Count = 0;
 };
