Keep the limits that replicas name, summed over the hosts

Callers: a back end in need got up to 20 requests in 4 s where it took 4; what it then failed or delayed was lost to them. Class: a bound that holds for the sum over all hosts and must be divided without agreement. Change: library limits. Reports of a limit carry a sequence, spread at once and with each round of gossip, and a host that starts gets them with the first answer. Each host takes a part that follows from the replica and the hosts it knows; a host that hears less than half of them takes none. Choice of a replica, admission, Retry-After and the step up to a larger model know of it; an engine that no request may be sent to no longer counts as one that answers in no time.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -283,6 +283,8 @@
   std::function<void(const Replica &, absl::Duration Work)> OnWorkSent;
   /// Called when a replica stated for the first time that it is shutting down.
   std::function<void(const Replica &)> OnReplicaLeaving;
+  /// Called when an answer named a limit that other hosts do not know yet.
+  std::function<void(const NamedLimit &)> OnReplicaLimit;
   /// Called when a different replica answered at the address of this one.
   std::function<void(const UpstreamId &)> OnMisdirected;
 };
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -11,6 +11,7 @@
 #define BERYLRAMP_GOSSIP_H
 
 #include "absl/container/flat_hash_map.h"
+#include "berylramp/limits.h"
 #include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
 #include "berylramp/routes.h"
@@ -62,6 +63,12 @@
 /// A segment in quarantine.
 std::string encodeQuarantine(uint64_t Segment);
 bool decodeQuarantine(const std::string &Datagram, uint64_t &Segment);
+/// Reports of limits, at most MaxReportedLimits.
+inline constexpr size_t MaxReportedLimits = 24;
+std::string encodeLimits(const std::vector<NamedLimit> &Reports);
+/// False when \p Datagram contains no reports of limits.
+bool decodeLimits(const std::string &Datagram,
+                  std::vector<NamedLimit> &Reports);
 std::string encodeWorkReport(const WorkReport &Report);
 /// False when \p Datagram is no work report.
 bool decodeWorkReport(const std::string &Datagram, WorkReport &Report);
@@ -118,6 +125,8 @@
   /// that is not live if there is any.
   std::vector<uint32_t> targets(size_t MaxCount, Instant Now);
   bool isLive(uint32_t Ip, Instant Now) const;
+  /// The addresses of all hosts, heard of or not, that do not leave.
+  std::vector<uint32_t> addresses() const;
   /// Peers last seen within the liveness timeout, without this host.
   std::vector<const Peer *> live(Instant Now) const;
   std::vector<const Peer *> seenWithin(absl::Duration Time, Instant Now) const;
--- /dev/null
+++ b/include/berylramp/limits.h
@@ -0,0 +1,151 @@
+//===- limits.h - Limits that replicas name for all hosts -------*- C++ -*-===//
+//
+// A replica in need names the requests per second that it takes from all hosts
+// together. Each host keeps a part of that limit, computed from the hosts that
+// it knows. Performs no I/O and reads no clock.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef BERYLRAMP_LIMITS_H
+#define BERYLRAMP_LIMITS_H
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "berylramp/timer.h"
+#include "berylramp/units.h"
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylramp {
+
+/// One process of a replica.
+struct ReplicaProcess {
+  /// Hash of the replica's id.
+  uint64_t IdHash = 0;
+  /// Start of the process in Unix milliseconds.
+  int64_t StartedAtMs = 0;
+  PlaceId Place;
+};
+
+/// What hosts tell each other of a replica's limit.
+struct NamedLimit {
+  uint64_t Replica = 0;
+  int64_t StartedAtMs = 0;
+  /// Incremented by the host that observes a change. Of two reports of one
+  /// process the one with the higher sequence holds, then the lower limit.
+  int64_t Sequence = 0;
+  /// Requests per second; nothing when the replica names no limit any more.
+  std::optional<double> PerSecond;
+};
+
+/// A host among which limits are divided.
+struct LimitMember {
+  /// IPv4 address in host byte order.
+  uint32_t Ip = 0;
+  /// Empty while only the address is known.
+  PlaceId Place;
+};
+
+/// The hosts among which limits are divided. Hosts that are cut off from each
+/// other keep their parts of a limit or take none, so that the parts add up.
+class LimitMembers {
+public:
+  explicit LimitMembers(LimitMember Self) : Self(std::move(Self)) {}
+
+  /// \p Heard are the other hosts that were heard of recently, \p KnownIps the
+  /// addresses of all others.
+  void update(const std::vector<LimitMember> &Heard,
+              const std::vector<uint32_t> &KnownIps, Instant Now);
+  /// Drops a host that announced that it is leaving.
+  void remove(uint32_t Ip);
+  std::vector<LimitMember> all() const;
+  const LimitMember &self() const { return this->Self; }
+  /// False while this host hears less than half of the hosts: the others may
+  /// divide its part among themselves.
+  bool mayShare() const { return this->MayShare; }
+
+private:
+  struct Entry {
+    PlaceId Place;
+    Instant HeardAt;
+  };
+  LimitMember Self;
+  std::map<uint32_t, Entry> Others;
+  bool MayShare = true;
+};
+
+/// The part of a limit that one host may use.
+struct LimitPart {
+  /// Requests per second, and unused requests that are kept.
+  double PerSecond = 0;
+  double Burst = 0;
+};
+
+/// The part of \p Self. A small limit is divided among a few hosts, those in
+/// the replica's data centre if there are any.
+LimitPart partOfLimit(double PerSecond, const ReplicaProcess &Replica,
+                      const std::vector<LimitMember> &Members,
+                      const LimitMember &Self);
+
+/// The limits of all replicas, and this host's part of each.
+class ReplicaLimits {
+public:
+  /// Applies what an answer to a request that was sent at \p SentAt stated.
+  /// Returns the news for the other hosts, if any.
+  std::optional<NamedLimit> observe(const ReplicaProcess &Replica,
+                                    std::optional<double> PerSecond,
+                                    Instant SentAt, Instant Now);
+  /// Applies another host's report; false when it is no news.
+  bool merge(const NamedLimit &Report, Instant Now);
+  /// Computes this host's parts anew. \p PlaceOf returns the data centre of a
+  /// replica, or nothing if the replica is unknown.
+  void divide(const LimitMembers &Members,
+              const std::function<std::optional<PlaceId>(uint64_t)> &PlaceOf,
+              Instant Now);
+  /// Drops the limits of replicas that have been unknown for a while, and
+  /// limits that ended long ago.
+  void sweep(Instant Now);
+
+  bool empty() const { return this->ByReplica.empty(); }
+  /// The limit that the replica names now.
+  std::optional<double> limitOf(const ReplicaProcess &Replica) const;
+  /// Whether this host may send the replica a request now. A request that is
+  /// not \p Urgent leaves a reserve for others.
+  bool allows(const ReplicaProcess &Replica, bool Urgent, Instant Now) const;
+  /// When this host, or if it has no part another one, may send the replica a
+  /// request.
+  Instant allowedAt(const ReplicaProcess &Replica, bool Urgent,
+                    Instant Now) const;
+  /// Whether the limit should be confirmed by the answer to a request, because
+  /// this host has not observed it for a while.
+  bool needsConfirmation(const ReplicaProcess &Replica, Instant Now) const;
+  void onSent(const ReplicaProcess &Replica, Instant Now);
+  /// Up to \p MaxCount reports for another host, another part at each call.
+  std::vector<NamedLimit> reports(size_t MaxCount);
+
+private:
+  struct Entry {
+    NamedLimit Named;
+    LimitPart Part;
+    double Balance = 0;
+    Instant BalanceAt;
+    Instant ChangedAt;
+    Instant ObservedAt;
+    /// When the replica was last known to this host.
+    Instant KnownAt;
+  };
+  const Entry *find(const ReplicaProcess &Replica) const;
+  static double balanceAt(const Entry &Limited, Instant Now);
+  void apply(Entry &Limited, const NamedLimit &Report, Instant Now);
+
+  absl::flat_hash_map<uint64_t, Entry> ByReplica;
+  size_t NextReport = 0;
+};
+
+} // namespace berylramp
+
+#endif // BERYLRAMP_LIMITS_H
--- a/include/berylramp/routes.h
+++ b/include/berylramp/routes.h
@@ -128,6 +128,9 @@
 const WorkspaceInfo *findWorkspace(const RouteTable &Table,
                                    absl::string_view Key);
 
+/// The priority of the most urgent route to \p Service.
+int mostUrgentPriority(const RouteTable &Table, const ServiceId &Service);
+
 /// Selects a service by weight. \p Draw is a random number in [0, 1).
 ServiceId pickService(const Route &Source, double Draw);
 
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "berylramp/limits.h"
 #include "berylramp/timer.h"
 #include "berylramp/units.h"
 #include <array>
@@ -121,9 +122,6 @@
   /// Requests of this host in progress.
   int InFlight = 0;
   ReportedLoad Load;
-  /// Requests per second that the replica takes from all hosts together, as its
-  /// last answer to this host stated.
-  std::optional<double> NamedLimit;
   /// Requests that this host sent after the last load report.
   int SentSinceReport = 0;
   int ConsecutiveFailures = 0;
@@ -144,6 +142,8 @@
 
 using ReplicaPtr = std::shared_ptr<Replica>;
 
+ReplicaProcess processOf(const Replica &Target);
+
 /// Outcome of a request at a replica.
 enum class Outcome {
   Good,
@@ -180,6 +180,8 @@
   /// all of them.
   double PreferredFrom = 0;
   double PreferredTo = 1;
+  /// No other requests to the service are more urgent.
+  bool Urgent = true;
   /// Replicas that this request has already been sent to.
   std::vector<UpstreamId> Tried;
   Instant Now;
@@ -296,8 +298,9 @@
   /// Sends the replica nothing before \p Until.
   void pause(const UpstreamId &Id, Instant Until);
   /// When the first of the replicas that could serve \p Query but asked for a
-  /// pause accepts requests again; the infinite future when there is none.
-  Instant earliestPauseEnd(const ChoiceQuery &Query) const;
+  /// pause, or for fewer requests, accepts one again; the infinite future when
+  /// there is none.
+  Instant earliestAvailability(const ChoiceQuery &Query) const;
   /// Drops a replica at once, e.g. when another replica answers at its address.
   void evict(const UpstreamId &Id, Instant Now);
   /// Drops removed replicas whose grace period has passed, and expired notices.
@@ -309,7 +312,7 @@
   /// Mean of requests per slot over the candidates; 1 when there is none.
   double utilization(const ChoiceQuery &Query) const;
 
-  void onRequestStarted(const Choice &Chosen, const ChoiceQuery &Query) const;
+  void onRequestStarted(const Choice &Chosen, const ChoiceQuery &Query);
   /// The first byte arrived \p Latency after the request was sent.
   void onFirstByte(const Choice &Chosen, absl::Duration Latency,
                    Instant Now) const;
@@ -321,10 +324,17 @@
   void onRequestEnded(Replica &Target, Outcome Result, Instant Now) const;
   void onLoadReport(Replica &Target, const ReportedLoad &Load) const;
 
+  /// The limits that replicas name, and this host's parts of them.
+  ReplicaLimits &limits() { return this->Limits; }
+  /// Computes this host's parts of all limits anew.
+  void divideLimits(const LimitMembers &Members, Instant Now);
+
   size_t size() const { return this->ById.size(); }
   std::vector<UpstreamId> ids() const;
   std::vector<ReplicaPtr> replicasOf(const ServiceId &Service) const;
   ReplicaPtr find(const UpstreamId &Id) const;
+  /// The id of the replica with the hash \p IdHash.
+  std::optional<UpstreamId> idOf(uint64_t IdHash) const;
 
 private:
   /// Requests per slot: the larger of this host's own requests and the reported
@@ -347,6 +357,7 @@
   absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> ByService;
   absl::flat_hash_map<uint64_t, ReplicaPtr> ByHash;
   absl::flat_hash_map<std::string, ReplicaNotice> Notices;
+  ReplicaLimits Limits;
 };
 
 } // namespace berylramp
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -36,6 +36,7 @@
   this->Relayer->setRetrySlack(this->retrySlackShare());
   this->Rollouts->tick(this->Peers);
   this->Quarantine->tick();
+  this->divideLimits();
   this->detectHostPause();
 }
 
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -86,6 +86,9 @@
     this->logLeavingReplica(Leaving.Entry.Id, "answer");
     this->Link->sendLeavingReport({Leaving.IdHash, Leaving.Entry.StartedAtMs});
   };
+  Hooks.OnReplicaLimit = [this](const NamedLimit &News) {
+    this->shareLimit(News);
+  };
   Hooks.OnMisdirected = [this](const UpstreamId &Id) {
     Json::Value Line(Json::objectValue);
     Line["replica"] = Id.text();
@@ -218,6 +221,7 @@
       this->logLeavingReplica(*Id, "peer");
   };
   this->createQuarantine();
+  this->connectLimits();
   for (const Endpoint &Seed : this->Config.Seeds)
     this->Peers.addAddress(parseIp(Seed.Ip), this->Timer.now());
   absl::Status Opened = this->Link->open();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -88,6 +88,11 @@
   ExchangeHooks exchangeHooks();
   void addQuarantineHooks(ExchangeHooks &Hooks);
   void createQuarantine();
+  void connectLimits();
+  /// Tells the other hosts of a limit, and takes this host's part of it.
+  void shareLimit(const NamedLimit &News);
+  void onLimitReport(const NamedLimit &Report);
+  void divideLimits();
   void logLeavingReplica(const UpstreamId &Id, const char *Source) const;
 
   void applyOperatorRecords(const std::vector<StoreRecord> &Records,
@@ -132,6 +137,10 @@
   Metrics Counters;
   UpstreamRegistry Registry;
   PeerTable Peers;
+  LimitMembers Sharing{{this->Peers.self().Ip, this->Config.Place}};
+  /// This host takes no part of a limit before: it may not have heard of the
+  /// other hosts yet.
+  Instant SharesLimitsAt;
   std::shared_ptr<PeerLink> Link;
   std::unique_ptr<QuarantineController> Quarantine;
   std::unique_ptr<RolloutController> Rollouts;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "directory.h"
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 
@@ -50,8 +51,12 @@
   std::string Datagram = this->Peers.encode(Now);
   std::vector<uint32_t> Addresses =
       this->Peers.targets(static_cast<size_t>(this->Targets), Now);
-  for (uint32_t Ip : Addresses)
+  std::vector<NamedLimit> Limits = this->LimitsToReport();
+  for (uint32_t Ip : Addresses) {
     this->sendTo(Ip, Datagram);
+    if (!Limits.empty())
+      this->sendTo(Ip, encodeLimits(Limits));
+  }
   this->Counters.count(Counter::PeerExchanges);
 }
 
@@ -99,6 +104,10 @@
                   [](const PlaceId &) { return true; });
 }
 
+void PeerLink::sendLimits(const std::vector<NamedLimit> &Reports) {
+  this->broadcast(encodeLimits(Reports), [](const PlaceId &) { return true; });
+}
+
 void PeerLink::receive() {
   auto Self = this->shared_from_this();
   this->Socket.async_wait(
@@ -119,6 +128,7 @@
           WorkReport Work;
           LeavingReport Leaving;
           PromptCrash Crash;
+          std::vector<NamedLimit> Limits;
           uint64_t Segment = 0;
           if (decodeWorkReport(Datagram, Work))
             Self->OnWorkReport(Work);
@@ -126,6 +136,8 @@
             Self->OnLeavingReport(Leaving);
           else if (decodePromptCrash(Datagram, Crash))
             Self->OnPromptCrash(Crash);
+          else if (decodeLimits(Datagram, Limits))
+            std::for_each(Limits.begin(), Limits.end(), Self->OnLimitReport);
           else if (decodeQuarantine(Datagram, Segment))
             Self->OnQuarantine(Segment);
           else
@@ -143,8 +155,12 @@
     return;
   }
   // A host that has just started learns of the others from the answer.
-  if (!WasLive && this->Peers.isLive(Sender, Now))
-    this->sendTo(Sender, this->Peers.encode(Now));
+  if (WasLive || !this->Peers.isLive(Sender, Now))
+    return;
+  this->sendTo(Sender, this->Peers.encode(Now));
+  std::vector<NamedLimit> Limits = this->LimitsToReport();
+  if (!Limits.empty())
+    this->sendTo(Sender, encodeLimits(Limits));
 }
 
 bool PeerLink::fetch(uint32_t Ip, const PeerQuery &Query,
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -34,6 +34,14 @@
   void sendPromptCrash(const PromptCrash &Crash);
   /// Tells all hosts of a segment in quarantine.
   void sendQuarantine(uint64_t Segment);
+  /// Reports limits to all hosts.
+  void sendLimits(const std::vector<NamedLimit> &Reports);
+  /// Returns the limits to report with this host's state.
+  std::function<std::vector<NamedLimit>()> LimitsToReport = [] {
+    return std::vector<NamedLimit>();
+  };
+  /// Called for each report of a limit that a peer sent.
+  std::function<void(const NamedLimit &)> OnLimitReport;
   std::function<void(const PromptCrash &)> OnPromptCrash;
   std::function<void(uint64_t Segment)> OnQuarantine;
   /// Called for each report of a leaving replica that a peer sent.
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -167,6 +167,9 @@
   }
   Result.Tried = this->TriedReplicas;
   Result.Now = this->now();
+  if (!this->Core.Registry.limits().empty())
+    Result.Urgent =
+        this->priority() <= mostUrgentPriority(*this->Table, this->Service);
   bool UsesSmallModel =
       this->ModelIndex + 1 < this->Cascade.CostPerThousand.size();
   if (this->ChoosesModel && UsesSmallModel)
@@ -176,6 +179,11 @@
   return Result;
 }
 
+int Relay::priority() const {
+  return this->Workspace.Priority >= 0 ? this->Workspace.Priority
+                                       : this->MatchedRoute->Priority;
+}
+
 ModelId Relay::currentModel() const {
   return this->ChoosesModel ? this->MatchedRoute->Models[this->ModelIndex]
                             : ModelId();
@@ -209,11 +217,12 @@
     Chosen = this->Core.Registry.choose(Query);
   }
   if (Chosen.Target == nullptr) {
-    Instant PauseEnd = this->Core.Registry.earliestPauseEnd(Query);
-    if (PauseEnd.SinceStart < absl::InfiniteDuration()) {
+    Instant AvailableAt = this->Core.Registry.earliestAvailability(Query);
+    if (AvailableAt.SinceStart < absl::InfiniteDuration()) {
       this->failRequest(RefusalKind::Overloaded,
-                        "all replicas of the service asked for a pause",
-                        PauseEnd - Query.Now);
+                        "all replicas of the service asked for a pause or "
+                        "for fewer requests",
+                        AvailableAt - Query.Now);
       return;
     }
     this->failRequest(RefusalKind::NoReplica,
@@ -255,7 +264,8 @@
   Json::Value Line(Json::objectValue);
   Line["request"] = this->RequestId;
   Line["replica"] = Target.Entry.Id.text();
-  Line["per_second"] = *Target.NamedLimit;
+  Line["per_second"] =
+      this->Core.Registry.limits().limitOf(processOf(Target)).value_or(0);
   Line["attempt"] = this->AttemptsStarted;
   logEvent(LogLevel::Info, "limited_attempt", Line);
 }
@@ -291,9 +301,7 @@
   Overrides.Workspace = this->Workspace.Id;
   Overrides.Model = this->currentModel();
   Overrides.LastEventId = this->Sequence.lastId();
-  Overrides.Urgency = this->Workspace.Priority >= 0
-                          ? this->Workspace.Priority
-                          : this->MatchedRoute->Priority;
+  Overrides.Urgency = this->priority();
   NewAttempt->SentAt = Now;
   bool HasFirstByteTimeout =
       MayReuse && this->AttemptsSent + 1 < this->MatchedRoute->MaxAttempts;
@@ -302,7 +310,7 @@
           ? this->MatchedRoute->ResponseTarget * FirstByteTimeoutTargets
           : absl::ZeroDuration();
   NewAttempt->Selection = Chosen;
-  if (TargetReplica->NamedLimit)
+  if (this->Core.Registry.limits().limitOf(processOf(*TargetReplica)))
     this->logLimitedAttempt(*TargetReplica);
   this->Core.Registry.onRequestStarted(Chosen, Query);
   if (Chosen.PrefillTime > absl::ZeroDuration())
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -50,6 +50,8 @@
   PrefillRateEstimator &prefillRate();
   ChoiceQuery choiceQuery() const;
   ModelId currentModel() const;
+  /// 0 is the most urgent.
+  int priority() const;
   bool mayRetry() const;
 
   void onAttemptRejected(Attempt &Source, Outcome Result);
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -116,22 +116,28 @@
 }
 
 void Relay::noteReplicaLimit(const Attempt &Source, const HttpHead &Head) {
-  const std::string *Text =
-      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLimit);
-  std::optional<double> Limit = Text ? parseLimit(*Text) : std::nullopt;
-  Replica &Target = *Source.TargetReplica;
-  if (Limit == Target.NamedLimit)
-    return;
-  Target.NamedLimit = Limit;
+  const Replica &Target = *Source.TargetReplica;
   Json::Value Line(Json::objectValue);
   Line["request"] = this->RequestId;
   Line["replica"] = Target.Entry.Id.text();
   Line["source"] = "answer";
+  const std::string *Text =
+      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLimit);
+  std::optional<double> Limit = Text ? parseLimit(*Text) : std::nullopt;
+  if (Text != nullptr && !Limit) {
+    Line["unusable_value"] = *Text;
+    logEvent(LogLevel::Warn, "replica_limit", Line);
+    return;
+  }
+  std::optional<NamedLimit> News = this->Core.Registry.limits().observe(
+      processOf(Target), Limit, Source.SentAt, this->now());
+  if (!News)
+    return;
   if (Limit)
     Line["per_second"] = *Limit;
-  else if (Text != nullptr)
-    Line["unusable_value"] = *Text;
+  Line["sequence"] = Json::Int64(News->Sequence);
   logEvent(LogLevel::Info, "replica_limit", Line);
+  this->Core.Hooks.OnReplicaLimit(*News);
 }
 
 bool Relay::largerModelIsLate() {
@@ -139,6 +145,8 @@
   this->ModelIndex = nextModel(this->Cascade, CurrentIndex);
   Choice Larger = this->Core.Registry.choose(this->choiceQuery());
   this->ModelIndex = CurrentIndex;
+  if (Larger.Target == nullptr)
+    return true;
   absl::Duration Elapsed = this->now() - this->Request.ArrivedAt;
   return Elapsed + Larger.QueueDelay + Larger.PrefillTime >
          this->MatchedRoute->ResponseTarget;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -27,6 +27,8 @@
 /// quarantine.
 constexpr int PromptCrashLayout = 103;
 constexpr int QuarantineLayout = 104;
+/// Identifies a datagram with limits that replicas named.
+constexpr int LimitsLayout = 105;
 /// More segments of a prompt are not reported.
 constexpr size_t MaxReportedSegments = 32;
 /// Fits one Ethernet frame together with the protocol headers.
@@ -74,6 +76,10 @@
   Writer.pack(Report.FullTrafficMs);
 }
 
+constexpr uint32_t LimitFields = 4;
+/// States that a replica names no limit any more.
+constexpr double NoLimit = -1;
+
 constexpr uint32_t StateFields = 9;
 
 void packState(Packer &Writer, const PeerState &State) {
@@ -259,6 +265,50 @@
   return decodeReplicaReport(Datagram, QuarantineLayout, Segment, Unused);
 }
 
+std::string encodeLimits(const std::vector<NamedLimit> &Reports) {
+  msgpack::sbuffer Bytes;
+  Packer Writer(Bytes);
+  Writer.pack_array(2);
+  Writer.pack(LimitsLayout);
+  size_t Count = std::min(Reports.size(), MaxReportedLimits);
+  Writer.pack_array(static_cast<uint32_t>(Count));
+  for (size_t Index = 0; Index < Count; ++Index) {
+    const NamedLimit &Report = Reports[Index];
+    Writer.pack_array(LimitFields);
+    Writer.pack(Report.Replica);
+    Writer.pack(Report.StartedAtMs);
+    Writer.pack(Report.Sequence);
+    Writer.pack(Report.PerSecond.value_or(NoLimit));
+  }
+  return {Bytes.data(), Bytes.size()};
+}
+
+bool decodeLimits(const std::string &Datagram,
+                  std::vector<NamedLimit> &Reports) {
+  try {
+    msgpack::object_handle Handle = unpackBounded(Datagram);
+    const msgpack::object *Top = arrayFields(Handle.get(), 2);
+    if (Top[0].as<int>() != LimitsLayout || Top[1].type != msgpack::type::ARRAY)
+      return false;
+    for (uint32_t Index = 0; Index < Top[1].via.array.size; ++Index) {
+      const msgpack::object *Fields =
+          arrayFields(Top[1].via.array.ptr[Index], LimitFields);
+      NamedLimit Report;
+      Report.Replica = Fields[0].as<uint64_t>();
+      Report.StartedAtMs = Fields[1].as<int64_t>();
+      Report.Sequence = Fields[2].as<int64_t>();
+      auto PerSecond = Fields[3].as<double>();
+      if (PerSecond >= 0)
+        Report.PerSecond = PerSecond;
+      Reports.push_back(Report);
+    }
+    return true;
+  } catch (const std::exception &) {
+    // The datagram is of another kind, which the caller decodes next.
+    return false;
+  }
+}
+
 std::string PeerTable::encode(Instant Now) {
   this->Self.Heartbeat += 1;
   std::vector<const Peer *> Others = this->live(Now);
@@ -367,6 +417,14 @@
          Now - Found->second.LastSeen < LivenessTimeout;
 }
 
+std::vector<uint32_t> PeerTable::addresses() const {
+  std::vector<uint32_t> Result;
+  for (const auto &[Ip, Record] : this->Peers)
+    if (!Record.State.Leaving)
+      Result.push_back(Ip);
+  return Result;
+}
+
 std::vector<const Peer *> PeerTable::live(Instant Now) const {
   return this->seenWithin(LivenessTimeout, Now);
 }
--- a/src/routes/routes.cpp
+++ b/src/routes/routes.cpp
@@ -10,6 +10,7 @@
 
 #include "absl/strings/match.h"
 #include <algorithm>
+#include <limits>
 
 namespace berylramp {
 
@@ -48,6 +49,15 @@
   return Found == Table.Keys.end() ? nullptr : &Table.Workspaces[Found->second];
 }
 
+int mostUrgentPriority(const RouteTable &Table, const ServiceId &Service) {
+  int Lowest = std::numeric_limits<int>::max();
+  for (const Route &Candidate : Table.Routes)
+    for (const ServiceShare &Share : Candidate.ServiceShares)
+      if (Share.Service == Service)
+        Lowest = std::min(Lowest, Candidate.Priority);
+  return Lowest;
+}
+
 ServiceId pickService(const Route &Source, double Draw) {
   int64_t Total = 0;
   for (const ServiceShare &Share : Source.ServiceShares)
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -94,6 +94,10 @@
 
 } // namespace
 
+ReplicaProcess processOf(const Replica &Target) {
+  return {Target.IdHash, Target.Entry.StartedAtMs, Target.Entry.Place};
+}
+
 void UpstreamRegistry::put(const ReplicaEntry &Entry, Instant Now) {
   ReplicaPtr &Slot = this->ById[Entry.Id.text()];
   bool Restarted =
@@ -207,6 +211,7 @@
   absl::erase_if(this->Notices, [&](const auto &Notice) {
     return Notice.second.ExpiresAt < Now;
   });
+  this->Limits.sweep(Now);
 }
 
 std::vector<UpstreamId> UpstreamRegistry::ids() const {
@@ -234,15 +239,32 @@
          !contains(Query.Tried, Candidate.Entry.Id);
 }
 
-Instant UpstreamRegistry::earliestPauseEnd(const ChoiceQuery &Query) const {
+Instant UpstreamRegistry::earliestAvailability(const ChoiceQuery &Query) const {
   Instant Earliest{absl::InfiniteDuration()};
-  for (const ReplicaPtr &Candidate : this->replicasOf(Query.Service))
-    if (this->isEligible(*Candidate, Query) &&
-        Query.Now < Candidate->PausedUntil)
-      Earliest = std::min(Earliest, Candidate->PausedUntil);
+  for (const ReplicaPtr &Candidate : this->replicasOf(Query.Service)) {
+    if (!this->isEligible(*Candidate, Query))
+      continue;
+    Instant At = std::max(
+        Candidate->PausedUntil,
+        this->Limits.allowedAt(processOf(*Candidate), Query.Urgent, Query.Now),
+        std::less<>());
+    if (Query.Now < At)
+      Earliest = std::min(Earliest, At);
+  }
   return Earliest;
 }
 
+void UpstreamRegistry::divideLimits(const LimitMembers &Members, Instant Now) {
+  auto PlaceOf = [this](uint64_t IdHash) -> std::optional<PlaceId> {
+    auto Found = this->ByHash.find(IdHash);
+    return Found == this->ByHash.end()
+               ? std::nullopt
+               : std::make_optional(Found->second->Entry.Place);
+  };
+  if (!this->Limits.empty())
+    this->Limits.divide(Members, PlaceOf, Now);
+}
+
 std::vector<ReplicaPtr>
 UpstreamRegistry::candidates(const ChoiceQuery &Query) const {
   std::vector<ReplicaPtr> Available;
@@ -252,7 +274,8 @@
   std::vector<ReplicaPtr> Unavailable;
   for (const ReplicaPtr &Candidate : Group->second) {
     if (!this->isEligible(*Candidate, Query) ||
-        Query.Now < Candidate->PausedUntil)
+        Query.Now < Candidate->PausedUntil ||
+        !this->Limits.allows(processOf(*Candidate), Query.Urgent, Query.Now))
       continue;
     bool Excluded =
         Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
@@ -265,6 +288,12 @@
   std::vector<ReplicaPtr> Available = this->candidates(Query);
   if (Available.empty())
     return {};
+  std::vector<ReplicaPtr> Unconfirmed;
+  for (const ReplicaPtr &Candidate : Available)
+    if (this->Limits.needsConfirmation(processOf(*Candidate), Query.Now))
+      Unconfirmed.push_back(Candidate);
+  if (!Unconfirmed.empty())
+    Available = std::move(Unconfirmed);
   if (!Query.Segments.empty())
     return this->chooseEngine(Query, Available);
   auto Cost = [&](const Replica &Candidate) {
@@ -382,8 +411,9 @@
 }
 
 void UpstreamRegistry::onRequestStarted(const Choice &Chosen,
-                                        const ChoiceQuery &Query) const {
+                                        const ChoiceQuery &Query) {
   Replica &Target = *Chosen.Target;
+  this->Limits.onSent(processOf(Target), Query.Now);
   Target.InFlight += 1;
   Target.SentSinceReport += 1;
   Target.BusyUntil =
@@ -503,6 +533,13 @@
                                         : Group->second;
 }
 
+std::optional<UpstreamId> UpstreamRegistry::idOf(uint64_t IdHash) const {
+  auto Found = this->ByHash.find(IdHash);
+  if (Found == this->ByHash.end())
+    return std::nullopt;
+  return Found->second->Entry.Id;
+}
+
 ReplicaPtr UpstreamRegistry::find(const UpstreamId &Id) const {
   auto Found = this->ById.find(Id.text());
   return Found == this->ById.end() ? nullptr : Found->second;
--- a/test/upstreams_test.cpp
+++ b/test/upstreams_test.cpp
@@ -108,13 +108,13 @@
   Registry.pause(UpstreamId("b"), atSecond(2));
   CHECK(Registry.choose(makeQuery(1)).Target == nullptr);
   CHECK_FALSE(Registry.hasCapacity(makeQuery(1)));
-  CHECK(Registry.earliestPauseEnd(makeQuery(1)).SinceStart ==
+  CHECK(Registry.earliestAvailability(makeQuery(1)).SinceStart ==
         atSecond(3).SinceStart);
   // The pause outlives the entry.
   Registry.evict(UpstreamId("a"), atSecond(1));
   Registry.put(makeEntry("a"), atSecond(1));
   CHECK(Registry.choose(makeQuery(3.5)).Target->Entry.Id == UpstreamId("b"));
-  CHECK(Registry.earliestPauseEnd(makeQuery(5)).SinceStart ==
+  CHECK(Registry.earliestAvailability(makeQuery(5)).SinceStart ==
         absl::InfiniteDuration());
 }
 
