--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -119,6 +119,14 @@
   return Field == nullptr ? "" : Field->substr(0, Field->find(':'));
 }
 
+uint64_t requestIdentity(const CallerRequest &Request,
+                         const WorkspaceId &Workspace) {
+  // None of the parts contains a line break.
+  return stableHash(absl::StrCat(Request.Method, "\n", hostWithoutPort(Request),
+                                 "\n", Request.Target, "\n", Workspace.text(),
+                                 "\n", stableHash(Request.Body)));
+}
+
 PromptInfo parsePromptInfo(const CallerRequest &Request,
                            const HeaderNames &Names) {
   PromptInfo Info;
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -49,6 +49,11 @@
 /// Ids of the segments that other requests may share: all but the last.
 std::vector<uint64_t> sharedSegments(const PromptInfo &Prompt);
 
+/// Identifies a request by host, path, body and \p Workspace. A caller's repeat
+/// of the request has the same identity.
+uint64_t requestIdentity(const CallerRequest &Request,
+                         const WorkspaceId &Workspace);
+
 PromptInfo parsePromptInfo(const CallerRequest &Request,
                            const HeaderNames &Names);
 
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -333,6 +333,7 @@
              Reason == RetryReason::CutMidStream;
   if (Cut) {
     Line["events"] = Source.EventCount;
+    Line["input"] = toHex(requestIdentity(this->Request, this->Workspace.Id));
     Line["segments"] = Json::Value(Json::arrayValue);
     for (uint64_t Segment : this->SharedSegments)
       Line["segments"].append(toHex(Segment));
