--- a/test/edge_quarantine_test.cpp
+++ b/test/edge_quarantine_test.cpp
@@ -94,8 +94,119 @@
   int Count = 0;
 };
 
+/// Replicas that end under a request with the body "deadly".
+struct DeadlyRequestFixture : QuarantineFixture {
+  DeadlyRequestFixture() {
+    for (const auto &Group : {this->Engines, this->PlainReplicas})
+      for (const auto &Ended : Group)
+        Ended->CrashingBody = "deadly";
+  }
+
+  int callPlain(const Endpoint &Host, const std::string &Body) {
+    this->Count += 1;
+    RawCaller Caller(this->Loop, Host);
+    Caller.send(makeRequest(this->Path, absl::StrCat("d", this->Count),
+                            this->Headers, Body, "key-1"));
+    this->runUntil(
+        [&] { return Caller.hasCompleteAnswer() || Caller.isClosed(); });
+    this->LastAnswer = Caller.received();
+    return Caller.status();
+  }
+
+  int64_t ended() const {
+    int64_t Sum = 0;
+    for (const auto &Group : {this->Engines, this->PlainReplicas})
+      for (const auto &Ended : Group)
+        Sum += Ended->Crashes;
+    return Sum;
+  }
+
+  void publishAll() {
+    for (const auto &Group : {this->Engines, this->PlainReplicas})
+      for (const auto &Ended : Group)
+        this->Store->put("keyed.servers", Ended->id(),
+                         Ended->entry("ready", "v1"));
+    this->runFor(absl::Milliseconds(300));
+  }
+
+  /// Sends the request between sound ones until three replicas have ended.
+  void endReplicas(const Endpoint &Host) {
+    for (int Round = 0; Round < 20 && this->ended() < EndsBefore; ++Round) {
+      this->callPlain(Host, "deadly");
+      this->runFor(absl::Milliseconds(300));
+      this->publishAll();
+      this->callPlain(Host, absl::StrCat("sound ", Round));
+    }
+    this->runFor(SpreadTime);
+  }
+
+  int64_t laterEnds(const Endpoint &Host) {
+    int64_t Before = this->ended();
+    for (int Index = 0; Index < 20; ++Index) {
+      this->callPlain(Host, "deadly");
+      if (this->ended() > Before)
+        this->publishAll();
+    }
+    return this->ended() - Before;
+  }
+
+  /// Replicas that end before the request counts as known.
+  static constexpr int64_t EndsBefore = 3;
+  std::string Path = "/safe/a";
+  std::string Headers;
+};
+
 } // namespace
 
+// Guards against requests of a plain service that end replica after replica.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "A request that ends replicas is refused and others are "
+                 "served") {
+  this->endReplicas(this->callerEndpoint());
+  CHECK(this->laterEnds(this->callerEndpoint()) <= MaxLaterCrashes);
+  CHECK(absl::StrContains(this->LastAnswer, "HTTP/1.1 503"));
+  CHECK(absl::StrContains(this->LastAnswer, "Retry-After"));
+  this->publishAll();
+  CHECK(this->callPlain(this->callerEndpoint(), "another") == 200);
+}
+
+// Guards against requests that end engines, of which no segment is shared.
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "A request to an engine that ends replicas is refused") {
+  this->Path = "/stream/a";
+  this->Headers = "Berylramp-Prefix-Hash: aa:300,ee7:100\r\n";
+  this->endReplicas(this->callerEndpoint());
+  CHECK(this->laterEnds(this->callerEndpoint()) <= MaxLaterCrashes);
+  this->publishAll();
+  CHECK(this->runUntil([&] {
+    return this->callPlain(this->callerEndpoint(), "another") == 200;
+  }));
+}
+
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "A host refuses a request that ended replicas at another "
+                 "one") {
+  this->startSecond(true);
+  this->endReplicas(this->callerEndpoint());
+  CHECK(this->laterEnds(this->SecondConfig.Callers) <= MaxLaterCrashes);
+}
+
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "A host that is cut off from the others learns of a request "
+                 "that ends replicas from the store") {
+  this->startSecond(false);
+  this->endReplicas(this->callerEndpoint());
+  CHECK(this->laterEnds(this->SecondConfig.Callers) <= MaxLaterCrashes);
+}
+
+TEST_CASE_METHOD(DeadlyRequestFixture,
+                 "A host that starts refuses a request that ended replicas "
+                 "before") {
+  this->endReplicas(this->callerEndpoint());
+  this->startSecond(false);
+  CHECK(this->laterEnds(this->SecondConfig.Callers) <= MaxLaterCrashes);
+}
+
 // Guards against engines that end one after the other under one prompt segment.
 TEST_CASE_METHOD(QuarantineFixture,
                  "Requests with a segment that ends engines are refused and "
