Remember requests under which replicas end

Callers: with one request that comes again, the three replicas of works-app ended again and again, and over a tenth of its other requests were not served. Ruled out: replicas that end for a reason of their own; all cut attempts have one path, caller and body. Change: one mechanism for both. The identity of a request (method, host, path, workspace, body) is an input beside its segments; it is suspected, spread, kept in the store and refused in the same way. Three ends under one request quarantine the request, not a segment: that takes ends under two different requests.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -15,6 +15,7 @@
 #include "absl/time/time.h"
 #include "berylramp/cascade.h"
 #include "berylramp/observe.h"
+#include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
 #include "berylramp/routes.h"
 #include "berylramp/timer.h"
@@ -263,19 +264,16 @@
   /// Observes an attempt until it returns true, which means that the answer is
   /// bad.
   std::function<bool(const AnswerObservation &)> ObserveAnswer;
-  /// Remaining time for which prompts with these segments are refused; zero
-  /// when they are not.
-  std::function<absl::Duration(const std::vector<uint64_t> &Segments)>
-      PromptRefusedFor;
-  /// Whether a request with these segments may be sent to another replica after
-  /// its answer was cut.
-  std::function<bool(const std::vector<uint64_t> &Segments)> MayRepeatPrompt;
+  /// Remaining time for which such requests are refused, because replicas ended
+  /// under them; zero when they are not.
+  std::function<absl::Duration(const RequestInput &)> InputRefusedFor;
+  /// Whether the request may be sent to another replica after its answer was
+  /// cut.
+  std::function<bool(const RequestInput &)> MayRepeatInput;
   /// Called when a replica ended before or just after it began an answer.
-  std::function<void(const Replica &, const std::vector<uint64_t> &Segments)>
-      OnPromptCrash;
+  std::function<void(const Replica &, const RequestInput &)> OnInputCrash;
   /// Called when a replica wrote an answer for a while, or completely.
-  std::function<void(const std::vector<uint64_t> &Segments, Instant SentAt)>
-      OnPromptAnswered;
+  std::function<void(const RequestInput &, Instant SentAt)> OnInputAnswered;
   /// True once this host drains and new requests must go to another host.
   std::function<bool()> RejectsNewRequests;
   /// Called when work was sent to a replica, to notify the other hosts that use
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -57,12 +57,12 @@
 std::string encodeLeavingReport(const LeavingReport &Report);
 /// False when \p Datagram is no report of a leaving replica.
 bool decodeLeavingReport(const std::string &Datagram, LeavingReport &Report);
-std::string encodePromptCrash(const PromptCrash &Crash);
+std::string encodeInputCrash(const InputCrash &Crash);
 /// False when \p Datagram is no report of a replica that ended.
-bool decodePromptCrash(const std::string &Datagram, PromptCrash &Crash);
-/// A segment in quarantine.
-std::string encodeQuarantine(uint64_t Segment);
-bool decodeQuarantine(const std::string &Datagram, uint64_t &Segment);
+bool decodeInputCrash(const std::string &Datagram, InputCrash &Crash);
+/// An input in quarantine.
+std::string encodeQuarantine(uint64_t Input);
+bool decodeQuarantine(const std::string &Datagram, uint64_t &Input);
 /// Reports of limits, at most MaxReportedLimits.
 inline constexpr size_t MaxReportedLimits = 24;
 std::string encodeLimits(const std::vector<NamedLimit> &Reports);
--- a/include/berylramp/quarantine.h
+++ b/include/berylramp/quarantine.h
@@ -1,7 +1,7 @@
-//===- quarantine.h - Prompt segments that end engines ----------*- C++ -*-===//
+//===- quarantine.h - Requests that end replicas ----------------*- C++ -*-===//
 //
-// Finds prompt segments under which one engine after another ends, from reports
-// of all hosts. Performs no I/O and reads no clock.
+// Finds requests, and segments of prompts, under which one replica after
+// another ends, from reports of all hosts. Performs no I/O and reads no clock.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,55 +12,66 @@
 #include "absl/time/time.h"
 #include "berylramp/timer.h"
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
 namespace berylramp {
 
-/// A replica ended when it had just begun, or was about to begin, an answer to
-/// a prompt with these segments.
-struct PromptCrash {
-  /// Hash of the replica's id.
-  uint64_t Replica = 0;
-  /// Ids of the segments that other requests may share, in the prompt's order.
+/// What may end a replica that runs a request.
+struct RequestInput {
+  /// Ids of the prompt's segments that other requests may share, in the
+  /// prompt's order; empty for a plain service.
   std::vector<uint64_t> Segments;
+  /// The same for all requests with the same path, caller and body.
+  uint64_t Identity = 0;
+};
+
+/// A replica ended when it had just begun, or was about to begin, an answer.
+struct InputCrash {
+  /// Hash of the replica's id and start.
+  uint64_t Replica = 0;
+  RequestInput Input;
 };
 
-class PromptQuarantine {
+/// Refuses segments and identities of requests, which are both called inputs.
+class InputQuarantine {
 public:
-  /// Returns the segment that \p Crash puts into quarantine, if any.
-  std::optional<uint64_t> onCrash(const PromptCrash &Crash, Instant Now);
+  /// Returns the input that \p Crash puts into quarantine, if any.
+  std::optional<uint64_t> onCrash(const InputCrash &Crash, Instant Now);
   /// A replica that received a request at \p SentAt wrote its answer for a
   /// while, or completely.
-  void onAnswered(const std::vector<uint64_t> &Segments, Instant SentAt);
-  /// Adds a segment that another host found; false when it was in quarantine.
-  bool add(uint64_t Segment, Instant Now);
-  void release(uint64_t Segment);
+  void onAnswered(const RequestInput &Input, Instant SentAt);
+  /// Adds an input that another host found; false when it was in quarantine.
+  bool add(uint64_t Id, Instant Now);
+  void release(uint64_t Id);
 
-  /// Remaining time for which prompts with these segments are refused; zero
-  /// when they are not.
-  absl::Duration refusedFor(const std::vector<uint64_t> &Segments,
-                            Instant Now) const;
-  /// Whether repeating a request with these segments may end another replica.
-  bool isSuspect(const std::vector<uint64_t> &Segments) const;
-  std::vector<uint64_t> segments() const;
+  /// Remaining time for which the request is refused; zero when it is not.
+  absl::Duration refusedFor(const RequestInput &Input, Instant Now) const;
+  /// Whether repeating the request may end another replica.
+  bool isSuspect(const RequestInput &Input) const;
+  std::vector<uint64_t> inputs() const;
 
 private:
   struct Suspect {
     Instant FirstAt;
     Instant CountedAt;
     int Crashes = 0;
-    std::set<uint64_t> Replicas;
+    /// When each replica ended last.
+    std::map<uint64_t, Instant> Replicas;
+    /// Identities of the requests that took part.
+    std::set<uint64_t> Requests;
     /// Crashes that were counted together with another segment.
     absl::flat_hash_map<uint64_t, int> Shared;
   };
-  void count(uint64_t Segment, const PromptCrash &Crash, Instant Now);
+  Suspect &suspect(uint64_t Id, const InputCrash &Crash, Instant Now);
+  void countSegment(uint64_t Segment, const InputCrash &Crash, Instant Now);
   bool explainsCrashesAlone(uint64_t Segment, const Suspect &Candidate) const;
   void dropOldest();
 
   absl::flat_hash_map<uint64_t, Suspect> Suspects;
-  /// When the quarantine of a segment ends. A later crash renews it at once.
+  /// When the quarantine of an input ends. A later crash renews it at once.
   absl::flat_hash_map<uint64_t, Instant> EndsAt;
 };
 
--- a/include/berylramp/refusal.h
+++ b/include/berylramp/refusal.h
@@ -39,7 +39,7 @@
   UpstreamFailed,
   AnswerCut,
   DeadlinePassed,
-  PromptQuarantined,
+  InputQuarantined,
   Internal
 };
 inline constexpr int RefusalKindCount =
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -99,43 +99,43 @@
 }
 
 void EdgeDaemon::State::addQuarantineHooks(ExchangeHooks &Hooks) {
-  Hooks.PromptRefusedFor = [this](const std::vector<uint64_t> &Segments) {
-    return this->Quarantine->segments().refusedFor(Segments, this->Timer.now());
+  Hooks.InputRefusedFor = [this](const RequestInput &Input) {
+    return this->Quarantine->inputs().refusedFor(Input, this->Timer.now());
   };
-  Hooks.MayRepeatPrompt = [this](const std::vector<uint64_t> &Segments) {
-    return !this->Quarantine->segments().isSuspect(Segments);
+  Hooks.MayRepeatInput = [this](const RequestInput &Input) {
+    return !this->Quarantine->inputs().isSuspect(Input);
   };
-  Hooks.OnPromptCrash = [this](const Replica &Ended,
-                               const std::vector<uint64_t> &Segments) {
-    this->Quarantine->onOwnCrash({Ended.IdHash, Segments});
+  Hooks.OnInputCrash = [this](const Replica &Ended, const RequestInput &Input) {
+    uint64_t Process = stableHash(
+        absl::StrCat(Ended.Entry.Id.text(), "/", Ended.Entry.StartedAtMs));
+    this->Quarantine->onOwnCrash({Process, Input});
   };
-  Hooks.OnPromptAnswered = [this](const std::vector<uint64_t> &Segments,
-                                  Instant SentAt) {
-    this->Quarantine->segments().onAnswered(Segments, SentAt);
+  Hooks.OnInputAnswered = [this](const RequestInput &Input, Instant SentAt) {
+    this->Quarantine->inputs().onAnswered(Input, SentAt);
   };
 }
 
 void EdgeDaemon::State::createQuarantine() {
   QuarantineController::Ports Ports;
-  Ports.SendCrash = [this](const PromptCrash &Crash) {
-    this->Link->sendPromptCrash(Crash);
+  Ports.SendCrash = [this](const InputCrash &Crash) {
+    this->Link->sendInputCrash(Crash);
   };
-  Ports.SendQuarantine = [this](uint64_t Segment) {
-    this->Link->sendQuarantine(Segment);
+  Ports.SendQuarantine = [this](uint64_t Input) {
+    this->Link->sendQuarantine(Input);
   };
-  Ports.Write = [this](uint64_t Segment, AppendCallback Done) {
+  Ports.Write = [this](uint64_t Input, AppendCallback Done) {
     this->Platform.Store.Append(StoreTopic::RolloutStates,
-                                this->Platform.Codec.EncodeQuarantine(Segment),
+                                this->Platform.Codec.EncodeQuarantine(Input),
                                 StorePosition(), std::move(Done));
   };
   Ports.WriterRank = [this] { return this->writerRank(); };
   Ports.Now = [this] { return this->Timer.now(); };
   this->Quarantine = std::make_unique<QuarantineController>(std::move(Ports));
-  this->Link->OnPromptCrash = [this](const PromptCrash &Crash) {
+  this->Link->OnInputCrash = [this](const InputCrash &Crash) {
     this->Quarantine->onPeerCrash(Crash);
   };
-  this->Link->OnQuarantine = [this](uint64_t Segment) {
-    this->Quarantine->onPeerQuarantine(Segment);
+  this->Link->OnQuarantine = [this](uint64_t Input) {
+    this->Quarantine->onPeerQuarantine(Input);
   };
 }
 
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -94,13 +94,13 @@
   });
 }
 
-void PeerLink::sendPromptCrash(const PromptCrash &Crash) {
-  this->broadcast(encodePromptCrash(Crash),
+void PeerLink::sendInputCrash(const InputCrash &Crash) {
+  this->broadcast(encodeInputCrash(Crash),
                   [](const PlaceId &) { return true; });
 }
 
-void PeerLink::sendQuarantine(uint64_t Segment) {
-  this->broadcast(encodeQuarantine(Segment),
+void PeerLink::sendQuarantine(uint64_t Input) {
+  this->broadcast(encodeQuarantine(Input),
                   [](const PlaceId &) { return true; });
 }
 
@@ -127,19 +127,19 @@
           std::string Datagram(Bytes.data(), Count);
           WorkReport Work;
           LeavingReport Leaving;
-          PromptCrash Crash;
+          InputCrash Crash;
           std::vector<NamedLimit> Limits;
-          uint64_t Segment = 0;
+          uint64_t Input = 0;
           if (decodeWorkReport(Datagram, Work))
             Self->OnWorkReport(Work);
           else if (decodeLeavingReport(Datagram, Leaving))
             Self->OnLeavingReport(Leaving);
-          else if (decodePromptCrash(Datagram, Crash))
-            Self->OnPromptCrash(Crash);
+          else if (decodeInputCrash(Datagram, Crash))
+            Self->OnInputCrash(Crash);
           else if (decodeLimits(Datagram, Limits))
             std::for_each(Limits.begin(), Limits.end(), Self->OnLimitReport);
-          else if (decodeQuarantine(Datagram, Segment))
-            Self->OnQuarantine(Segment);
+          else if (decodeQuarantine(Datagram, Input))
+            Self->OnQuarantine(Input);
           else
             Self->mergeState(Datagram, Sender.address().to_v4().to_uint());
         }
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -30,10 +30,10 @@
   void sendWorkReport(const WorkReport &Report, const PlaceId &Place);
   /// Reports a replica that is shutting down to the hosts of this region.
   void sendLeavingReport(const LeavingReport &Report);
-  /// Reports a replica that ended under a prompt to all hosts.
-  void sendPromptCrash(const PromptCrash &Crash);
-  /// Tells all hosts of a segment in quarantine.
-  void sendQuarantine(uint64_t Segment);
+  /// Reports a replica that ended under a request to all hosts.
+  void sendInputCrash(const InputCrash &Crash);
+  /// Tells all hosts of an input in quarantine.
+  void sendQuarantine(uint64_t Input);
   /// Reports limits to all hosts.
   void sendLimits(const std::vector<NamedLimit> &Reports);
   /// Returns the limits to report with this host's state.
@@ -42,8 +42,8 @@
   };
   /// Called for each report of a limit that a peer sent.
   std::function<void(const NamedLimit &)> OnLimitReport;
-  std::function<void(const PromptCrash &)> OnPromptCrash;
-  std::function<void(uint64_t Segment)> OnQuarantine;
+  std::function<void(const InputCrash &)> OnInputCrash;
+  std::function<void(uint64_t Input)> OnQuarantine;
   /// Called for each report of a leaving replica that a peer sent.
   std::function<void(const LeavingReport &)> OnLeavingReport;
   /// Called for each work report that a peer sent.
--- a/src/edge/quarantine_controller.cpp
+++ b/src/edge/quarantine_controller.cpp
@@ -15,15 +15,15 @@
 constexpr double ReportsPerSecond = 10;
 constexpr double MaxReportsAtOnce = 20;
 
-Json::Value logFieldsOf(uint64_t Segment) {
+Json::Value logFieldsOf(uint64_t Input) {
   Json::Value Line(Json::objectValue);
-  Line["segment"] = toHex(Segment);
+  Line["input"] = toHex(Input);
   return Line;
 }
 
 } // namespace
 
-void QuarantineController::onOwnCrash(const PromptCrash &Crash) {
+void QuarantineController::onOwnCrash(const InputCrash &Crash) {
   Instant Now = this->Callbacks.Now();
   double Seconds = absl::ToDoubleSeconds(Now - this->AllowanceAt);
   this->ReportAllowance = std::min(
@@ -33,62 +33,62 @@
     this->ReportAllowance -= 1;
     this->Callbacks.SendCrash(Crash);
   }
-  std::optional<uint64_t> Segment = this->Quarantine.onCrash(Crash, Now);
-  if (Segment)
-    this->onQuarantined(*Segment, "own");
+  std::optional<uint64_t> Input = this->Quarantine.onCrash(Crash, Now);
+  if (Input)
+    this->onQuarantined(*Input, "own");
 }
 
-void QuarantineController::onPeerCrash(const PromptCrash &Crash) {
-  std::optional<uint64_t> Segment =
+void QuarantineController::onPeerCrash(const InputCrash &Crash) {
+  std::optional<uint64_t> Input =
       this->Quarantine.onCrash(Crash, this->Callbacks.Now());
-  if (Segment)
-    this->onQuarantined(*Segment, "crashes of peers");
+  if (Input)
+    this->onQuarantined(*Input, "crashes of peers");
 }
 
-void QuarantineController::onQuarantined(uint64_t Segment, const char *Source) {
-  Json::Value Line = logFieldsOf(Segment);
+void QuarantineController::onQuarantined(uint64_t Input, const char *Source) {
+  Json::Value Line = logFieldsOf(Input);
   Line["source"] = Source;
-  logEvent(LogLevel::Warn, "segment_quarantined", Line);
-  this->Callbacks.SendQuarantine(Segment);
-  this->PendingWrites[Segment].Since = this->Callbacks.Now();
+  logEvent(LogLevel::Warn, "input_quarantined", Line);
+  this->Callbacks.SendQuarantine(Input);
+  this->PendingWrites[Input].Since = this->Callbacks.Now();
 }
 
-void QuarantineController::onPeerQuarantine(uint64_t Segment) {
-  if (!this->Quarantine.add(Segment, this->Callbacks.Now()))
+void QuarantineController::onPeerQuarantine(uint64_t Input) {
+  if (!this->Quarantine.add(Input, this->Callbacks.Now()))
     return;
-  Json::Value Line = logFieldsOf(Segment);
+  Json::Value Line = logFieldsOf(Input);
   Line["source"] = "peer";
-  logEvent(LogLevel::Warn, "segment_quarantined", Line);
-  this->PendingWrites[Segment].Since = this->Callbacks.Now();
+  logEvent(LogLevel::Warn, "input_quarantined", Line);
+  this->PendingWrites[Input].Since = this->Callbacks.Now();
 }
 
-void QuarantineController::onRecord(uint64_t Segment, bool Exists) {
-  this->PendingWrites.erase(Segment);
-  Json::Value Line = logFieldsOf(Segment);
+void QuarantineController::onRecord(uint64_t Input, bool Exists) {
+  this->PendingWrites.erase(Input);
+  Json::Value Line = logFieldsOf(Input);
   if (!Exists) {
-    this->Quarantine.release(Segment);
-    logEvent(LogLevel::Info, "segment_released", Line);
+    this->Quarantine.release(Input);
+    logEvent(LogLevel::Info, "input_released", Line);
     return;
   }
-  if (!this->Quarantine.add(Segment, this->Callbacks.Now()))
+  if (!this->Quarantine.add(Input, this->Callbacks.Now()))
     return;
   Line["source"] = "store";
-  logEvent(LogLevel::Warn, "segment_quarantined", Line);
+  logEvent(LogLevel::Warn, "input_quarantined", Line);
 }
 
 void QuarantineController::rewriteRecords() {
-  for (uint64_t Segment : this->Quarantine.segments())
-    this->PendingWrites[Segment].Since = this->Callbacks.Now();
+  for (uint64_t Input : this->Quarantine.inputs())
+    this->PendingWrites[Input].Since = this->Callbacks.Now();
 }
 
 void QuarantineController::tick() {
   absl::Duration Delay = WriteDelayPerRank * this->Callbacks.WriterRank();
-  for (auto &[Segment, Pending] : this->PendingWrites) {
+  for (auto &[Input, Pending] : this->PendingWrites) {
     if (Pending.InFlight || this->Callbacks.Now() - Pending.Since < Delay)
       continue;
     Pending.InFlight = true;
-    uint64_t Written = Segment;
-    this->Callbacks.Write(Segment, [this, Written](const absl::Status &Status) {
+    uint64_t Written = Input;
+    this->Callbacks.Write(Input, [this, Written](const absl::Status &Status) {
       Json::Value Line = logFieldsOf(Written);
       Line["result"] = Status.ok() ? "ok" : std::string(Status.message());
       logEvent(LogLevel::Info, "quarantine_write", Line);
--- a/src/edge/quarantine_controller.h
+++ b/src/edge/quarantine_controller.h
@@ -1,7 +1,7 @@
 //===- quarantine_controller.h - Quarantine shared by hosts -----*- C++ -*-===//
 //
-// Spreads crashes of replicas and segments in quarantine by datagrams, and
-// keeps the segments in the store for hosts that are cut off or start later.
+// Spreads crashes of replicas and inputs in quarantine by datagrams, and
+// keeps the inputs in the store for hosts that are cut off or start later.
 //
 //===----------------------------------------------------------------------===//
 
@@ -17,9 +17,9 @@
 class QuarantineController {
 public:
   struct Ports {
-    std::function<void(const PromptCrash &)> SendCrash;
-    std::function<void(uint64_t Segment)> SendQuarantine;
-    std::function<void(uint64_t Segment, AppendCallback)> Write;
+    std::function<void(const InputCrash &)> SendCrash;
+    std::function<void(uint64_t Input)> SendQuarantine;
+    std::function<void(uint64_t Input, AppendCallback)> Write;
     /// The number of live hosts that write before this one.
     std::function<int()> WriterRank;
     std::function<Instant()> Now;
@@ -29,26 +29,26 @@
       : Callbacks(std::move(Callbacks)) {}
 
   /// A replica ended under a request of this host.
-  void onOwnCrash(const PromptCrash &Crash);
-  void onPeerCrash(const PromptCrash &Crash);
-  void onPeerQuarantine(uint64_t Segment);
-  /// The store has a record of the segment, or no longer has it.
-  void onRecord(uint64_t Segment, bool Exists);
+  void onOwnCrash(const InputCrash &Crash);
+  void onPeerCrash(const InputCrash &Crash);
+  void onPeerQuarantine(uint64_t Input);
+  /// The store has a record of the input, or no longer has it.
+  void onRecord(uint64_t Input, bool Exists);
   /// Writes the records again after the store lost them.
   void rewriteRecords();
   void tick();
 
-  PromptQuarantine &segments() { return this->Quarantine; }
+  InputQuarantine &inputs() { return this->Quarantine; }
 
 private:
   struct PendingWrite {
     Instant Since;
     bool InFlight = false;
   };
-  void onQuarantined(uint64_t Segment, const char *Source);
+  void onQuarantined(uint64_t Input, const char *Source);
 
   Ports Callbacks;
-  PromptQuarantine Quarantine;
+  InputQuarantine Quarantine;
   std::map<uint64_t, PendingWrite> PendingWrites;
   /// Crashes that this host may report at once.
   double ReportAllowance = 0;
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -97,7 +97,8 @@
   const HeaderNames &Names = this->Core.Settings.Names;
   this->Execution = ExecutionTracker(this->MatchedRoute->Repeats);
   this->Prompt = parsePromptInfo(this->Request, Names);
-  this->SharedSegments = sharedSegments(this->Prompt);
+  this->Input = {sharedSegments(this->Prompt),
+                 requestIdentity(this->Request, this->Workspace.Id)};
   this->Service =
       pickService(*this->MatchedRoute, hashToUnitInterval(this->RequestId));
   const std::string *Session = findHeader(this->Request.Headers, Names.Session);
@@ -248,13 +249,13 @@
 }
 
 bool Relay::checkQuarantine() {
-  absl::Duration Remaining =
-      this->Core.Hooks.PromptRefusedFor(this->SharedSegments);
+  absl::Duration Remaining = this->Core.Hooks.InputRefusedFor(this->Input);
   if (Remaining <= absl::ZeroDuration())
     return true;
-  const char *Detail = "replicas ended under a segment of this prompt";
+  const char *Detail =
+      "replicas ended under this request or a segment of its prompt";
   if (!this->StreamStarted && this->Execution.provablyNotExecuted())
-    this->refuse(RefusalKind::PromptQuarantined, Detail, Remaining);
+    this->refuse(RefusalKind::InputQuarantined, Detail, Remaining);
   else
     this->failRequest(RefusalKind::UpstreamFailed, Detail);
   return false;
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -83,8 +83,8 @@
   /// Refuses the request if its prompt is in quarantine; returns false then.
   bool checkQuarantine();
   /// Reports a replica that ended while it began this answer.
-  void notePromptCrash(const Attempt &Source);
-  void notePromptAnswered(Attempt &Source);
+  void noteInputCrash(const Attempt &Source);
+  void noteInputAnswered(Attempt &Source);
   void armDeadline();
   void observe(Attempt &Source, AnswerEvent Event);
   /// Observes the pace of a stream once, when enough of it was received.
@@ -103,8 +103,7 @@
   double VersionDraw = 0;
   std::string RequestId;
   PromptInfo Prompt;
-  /// Ids of the prompt's segments that other requests may share.
-  std::vector<uint64_t> SharedSegments;
+  RequestInput Input;
   /// Set when a repeat could end another replica.
   bool RepeatsForbidden = false;
   CascadeQuery Cascade;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -227,7 +227,7 @@
     }
   }
   if (Source.EventCount > 0 && this->now() - Source.FirstEventAt >= ProofTime)
-    this->notePromptAnswered(Source);
+    this->noteInputAnswered(Source);
   this->observeEvents(Source, false);
   const ExchangeSettings &Settings = this->Core.Settings;
   if (this->Current == AttemptGuard &&
@@ -265,7 +265,7 @@
                           Outcome::ConnectionFailed, true);
     return;
   }
-  this->notePromptAnswered(Source);
+  this->noteInputAnswered(Source);
   this->observeEvents(Source, true);
   this->Core.Pool.release(Source.TargetReplica->Entry.Id, Source.Connection,
                           this->now());
@@ -294,6 +294,7 @@
     return;
   }
   auto AttemptGuard = Source.shared_from_this();
+  this->noteInputAnswered(Source);
   this->Core.Pool.release(Source.TargetReplica->Entry.Id, Source.Connection,
                           this->now());
   this->Core.Registry.onRequestEnded(*Source.TargetReplica,
@@ -333,15 +334,15 @@
              Reason == RetryReason::CutMidStream;
   if (Cut) {
     Line["events"] = Source.EventCount;
-    Line["input"] = toHex(requestIdentity(this->Request, this->Workspace.Id));
+    Line["input"] = toHex(this->Input.Identity);
     Line["segments"] = Json::Value(Json::arrayValue);
-    for (uint64_t Segment : this->SharedSegments)
+    for (uint64_t Segment : this->Input.Segments)
       Line["segments"].append(toHex(Segment));
   }
   logEvent(LogLevel::Info, "attempt_failed", Line);
   this->Core.Counters.countRetry(Reason);
   if (Cut)
-    this->notePromptCrash(Source);
+    this->noteInputCrash(Source);
   if (Sent)
     this->observe(Source, AnswerEvent::Failure);
   this->endAttempt(Result);
@@ -352,25 +353,23 @@
   this->startNextAttempt();
 }
 
-void Relay::notePromptCrash(const Attempt &Source) {
+void Relay::noteInputCrash(const Attempt &Source) {
   bool JustBegan =
       Source.EventCount == 0 || this->now() - Source.FirstEventAt < ProofTime;
-  if (this->SharedSegments.empty() || !JustBegan)
+  if (!JustBegan)
     return;
-  this->RepeatsForbidden =
-      !this->Core.Hooks.MayRepeatPrompt(this->SharedSegments);
+  this->RepeatsForbidden = !this->Core.Hooks.MayRepeatInput(this->Input);
   checkEnded(this->Core.Loop, Source.TargetReplica->Entry.Address,
              [Owner = this->CoreOwner, &Core = this->Core,
-              Ended = Source.TargetReplica, Segments = this->SharedSegments] {
-               Core.Hooks.OnPromptCrash(*Ended, Segments);
-             });
+              Ended = Source.TargetReplica,
+              Input = this->Input] { Core.Hooks.OnInputCrash(*Ended, Input); });
 }
 
-void Relay::notePromptAnswered(Attempt &Source) {
-  if (Source.IsProof || this->SharedSegments.empty())
+void Relay::noteInputAnswered(Attempt &Source) {
+  if (Source.IsProof)
     return;
   Source.IsProof = true;
-  this->Core.Hooks.OnPromptAnswered(this->SharedSegments, Source.SentAt);
+  this->Core.Hooks.OnInputAnswered(this->Input, Source.SentAt);
 }
 
 void Relay::observeEvents(Attempt &Source, bool Ended) {
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -23,9 +23,9 @@
 constexpr int WorkReportLayout = 101;
 /// Identifies a datagram with a report of a leaving replica.
 constexpr int LeavingReportLayout = 102;
-/// Identifies a datagram with a replica that ended, and with a segment in
+/// Identifies a datagram with a replica that ended, and with an input in
 /// quarantine.
-constexpr int PromptCrashLayout = 103;
+constexpr int InputCrashLayout = 106;
 constexpr int QuarantineLayout = 104;
 /// Identifies a datagram with limits that replicas named.
 constexpr int LimitsLayout = 105;
@@ -76,6 +76,7 @@
   Writer.pack(Report.FullTrafficMs);
 }
 
+constexpr uint32_t CrashFields = 4;
 constexpr uint32_t LimitFields = 4;
 /// States that a replica names no limit any more.
 constexpr double NoLimit = -1;
@@ -226,29 +227,33 @@
                              Report.StartedAtMs);
 }
 
-std::string encodePromptCrash(const PromptCrash &Crash) {
+std::string encodeInputCrash(const InputCrash &Crash) {
   msgpack::sbuffer Bytes;
   Packer Writer(Bytes);
-  size_t Count = std::min(Crash.Segments.size(), MaxReportedSegments);
-  Writer.pack_array(3);
-  Writer.pack(PromptCrashLayout);
+  const std::vector<uint64_t> &Segments = Crash.Input.Segments;
+  size_t Count = std::min(Segments.size(), MaxReportedSegments);
+  Writer.pack_array(CrashFields);
+  Writer.pack(InputCrashLayout);
   Writer.pack(Crash.Replica);
+  Writer.pack(Crash.Input.Identity);
   Writer.pack_array(static_cast<uint32_t>(Count));
   for (size_t Index = 0; Index < Count; ++Index)
-    Writer.pack(Crash.Segments[Index]);
+    Writer.pack(Segments[Index]);
   return {Bytes.data(), Bytes.size()};
 }
 
-bool decodePromptCrash(const std::string &Datagram, PromptCrash &Crash) {
+bool decodeInputCrash(const std::string &Datagram, InputCrash &Crash) {
   try {
     msgpack::object_handle Handle = unpackBounded(Datagram);
-    const msgpack::object *Fields = arrayFields(Handle.get(), 3);
-    if (Fields[0].as<int>() != PromptCrashLayout ||
-        Fields[2].type != msgpack::type::ARRAY)
+    const msgpack::object *Fields = arrayFields(Handle.get(), CrashFields);
+    if (Fields[0].as<int>() != InputCrashLayout ||
+        Fields[3].type != msgpack::type::ARRAY)
       return false;
     Crash.Replica = Fields[1].as<uint64_t>();
-    for (uint32_t Index = 0; Index < Fields[2].via.array.size; ++Index)
-      Crash.Segments.push_back(Fields[2].via.array.ptr[Index].as<uint64_t>());
+    Crash.Input.Identity = Fields[2].as<uint64_t>();
+    const msgpack::object_array &Segments = Fields[3].via.array;
+    for (uint32_t Index = 0; Index < Segments.size; ++Index)
+      Crash.Input.Segments.push_back(Segments.ptr[Index].as<uint64_t>());
     return true;
   } catch (const std::exception &) {
     // The datagram is of another kind, which the caller decodes next.
@@ -256,13 +261,13 @@
   }
 }
 
-std::string encodeQuarantine(uint64_t Segment) {
-  return encodeReplicaReport(QuarantineLayout, Segment, 0);
+std::string encodeQuarantine(uint64_t Input) {
+  return encodeReplicaReport(QuarantineLayout, Input, 0);
 }
 
-bool decodeQuarantine(const std::string &Datagram, uint64_t &Segment) {
+bool decodeQuarantine(const std::string &Datagram, uint64_t &Input) {
   int64_t Unused = 0;
-  return decodeReplicaReport(Datagram, QuarantineLayout, Segment, Unused);
+  return decodeReplicaReport(Datagram, QuarantineLayout, Input, Unused);
 }
 
 std::string encodeLimits(const std::vector<NamedLimit> &Reports) {
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,9 +1,9 @@
-//===- quarantine.cpp - Prompt segments that end engines ------------------===//
+//===- quarantine.cpp - Requests that end replicas ------------------------===//
 //
-// All requests at an engine break when it ends, so that segments of sound
-// prompts are suspected too. A segment that ends engines is never answered, and
-// it takes part in each crash; others are answered in between, or take part in
-// some of the crashes only.
+// All requests at a replica break when it ends, so that sound ones are
+// suspected too. A sound request, sent again, is answered. A segment that ends
+// engines is never answered, and it takes part in each crash; others are
+// answered in between, or take part in some of the crashes only.
 //
 //===----------------------------------------------------------------------===//
 
@@ -15,9 +15,12 @@
 
 namespace {
 
-/// Crashes, and different replicas, before a segment is put into quarantine.
+/// Crashes, and different replicas, before an input is put into quarantine.
 constexpr int MinCrashes = 3;
 constexpr size_t MinReplicas = 2;
+/// Different requests under which replicas ended, before it is their segment
+/// that is put into quarantine.
+constexpr size_t MinRequests = 2;
 /// Crashes from which on a segment that always occurs together with others is
 /// put into quarantine, the last one of a prompt first.
 constexpr int MinCrashesOfGroup = 5;
@@ -26,30 +29,51 @@
 /// Replicas that end within this time may have ended for one common reason and
 /// count once.
 constexpr absl::Duration CrashInterval = absl::Milliseconds(250);
+/// A replica that ends again after this time has started in between, possibly
+/// under the same id.
+constexpr absl::Duration RestartTime = absl::Milliseconds(500);
 constexpr absl::Duration QuarantineTime = absl::Minutes(10);
 constexpr size_t MaxSuspects = 4096;
 constexpr size_t MaxQuarantined = 1024;
 
+std::vector<uint64_t> idsOf(const RequestInput &Input) {
+  std::vector<uint64_t> Ids = Input.Segments;
+  Ids.push_back(Input.Identity);
+  return Ids;
+}
+
 } // namespace
 
-std::optional<uint64_t> PromptQuarantine::onCrash(const PromptCrash &Crash,
-                                                  Instant Now) {
-  for (uint64_t Segment : Crash.Segments) {
-    auto Found = this->EndsAt.find(Segment);
-    if (Found == this->EndsAt.end())
-      continue;
-    bool Ended = !(Now < Found->second);
-    Found->second = Now + QuarantineTime;
-    return Ended ? std::make_optional(Segment) : std::nullopt;
+std::optional<uint64_t> InputQuarantine::onCrash(const InputCrash &Crash,
+                                                 Instant Now) {
+  for (uint64_t Id : idsOf(Crash.Input))
+    if (auto Known = this->EndsAt.find(Id); Known != this->EndsAt.end()) {
+      bool Ended = !(Now < Known->second);
+      Known->second = Now + QuarantineTime;
+      return Ended ? std::make_optional(Id) : std::nullopt;
+    }
+  for (uint64_t Segment : Crash.Input.Segments)
+    this->countSegment(Segment, Crash, Now);
+  uint64_t Identity = Crash.Input.Identity;
+  Suspect &Request = this->suspect(Identity, Crash, Now);
+  auto LastEnd = Request.Replicas.find(Crash.Replica);
+  bool IsNewEnd =
+      LastEnd == Request.Replicas.end() || Now - LastEnd->second >= RestartTime;
+  Request.Replicas[Crash.Replica] = Now;
+  Request.CountedAt = Now;
+  Request.Crashes += IsNewEnd ? 1 : 0;
+  if (Request.Crashes >= MinCrashes) {
+    this->add(Identity, Now);
+    return Identity;
   }
-  for (uint64_t Segment : Crash.Segments)
-    this->count(Segment, Crash, Now);
   // The last segments of a prompt are the most specific ones.
-  for (auto Segment = Crash.Segments.rbegin(); Segment != Crash.Segments.rend();
+  const std::vector<uint64_t> &Segments = Crash.Input.Segments;
+  for (auto Segment = Segments.rbegin(); Segment != Segments.rend();
        ++Segment) {
     const Suspect &Candidate = this->Suspects[*Segment];
     if (Candidate.Crashes < MinCrashes ||
         Candidate.Replicas.size() < MinReplicas ||
+        Candidate.Requests.size() < MinRequests ||
         !this->explainsCrashesAlone(*Segment, Candidate))
       continue;
     uint64_t Guilty = *Segment;
@@ -59,26 +83,33 @@
   return std::nullopt;
 }
 
-void PromptQuarantine::count(uint64_t Segment, const PromptCrash &Crash,
-                             Instant Now) {
-  if (this->Suspects.size() >= MaxSuspects)
+InputQuarantine::Suspect &
+InputQuarantine::suspect(uint64_t Id, const InputCrash &Crash, Instant Now) {
+  if (this->Suspects.size() >= MaxSuspects && !this->Suspects.contains(Id))
     this->dropOldest();
-  Suspect &Counted = this->Suspects[Segment];
-  if (Counted.Crashes == 0)
-    Counted.FirstAt = Now;
-  Counted.Replicas.insert(Crash.Replica);
+  Suspect &Result = this->Suspects[Id];
+  if (Result.Requests.empty())
+    Result.FirstAt = Now;
+  Result.Requests.insert(Crash.Input.Identity);
+  return Result;
+}
+
+void InputQuarantine::countSegment(uint64_t Segment, const InputCrash &Crash,
+                                   Instant Now) {
+  Suspect &Counted = this->suspect(Segment, Crash, Now);
+  Counted.Replicas[Crash.Replica] = Now;
   if (Counted.Crashes > 0 && Now - Counted.CountedAt < CrashInterval)
     return;
   Counted.CountedAt = Now;
   Counted.Crashes += 1;
-  for (uint64_t Other : Crash.Segments)
+  for (uint64_t Other : Crash.Input.Segments)
     if (Other != Segment)
       Counted.Shared[Other] += 1;
 }
 
 // False while another suspect took part in the same crashes.
-bool PromptQuarantine::explainsCrashesAlone(uint64_t Segment,
-                                            const Suspect &Candidate) const {
+bool InputQuarantine::explainsCrashesAlone(uint64_t Segment,
+                                           const Suspect &Candidate) const {
   if (Candidate.Crashes >= MinCrashesOfGroup)
     return true;
   return std::none_of(Candidate.Shared.begin(), Candidate.Shared.end(),
@@ -88,7 +119,7 @@
                       });
 }
 
-void PromptQuarantine::dropOldest() {
+void InputQuarantine::dropOldest() {
   auto Oldest =
       std::min_element(this->Suspects.begin(), this->Suspects.end(),
                        [](const auto &A, const auto &B) {
@@ -99,67 +130,66 @@
 
 // Answers to requests that were sent before the first crash prove nothing: the
 // segment may have begun to end engines since.
-void PromptQuarantine::onAnswered(const std::vector<uint64_t> &Segments,
-                                  Instant SentAt) {
-  for (uint64_t Segment : Segments) {
-    auto Found = this->Suspects.find(Segment);
+void InputQuarantine::onAnswered(const RequestInput &Input, Instant SentAt) {
+  if (this->Suspects.empty())
+    return;
+  for (uint64_t Id : idsOf(Input)) {
+    auto Found = this->Suspects.find(Id);
     if (Found != this->Suspects.end() && Found->second.FirstAt < SentAt)
       this->Suspects.erase(Found);
   }
 }
 
-bool PromptQuarantine::add(uint64_t Segment, Instant Now) {
-  auto Suspected = this->Suspects.find(Segment);
+bool InputQuarantine::add(uint64_t Id, Instant Now) {
+  auto Suspected = this->Suspects.find(Id);
   if (Suspected != this->Suspects.end()) {
-    // The segment explains the crashes that others were suspected of.
+    // The input explains the crashes that others were suspected of.
     std::vector<uint64_t> Others;
     for (const auto &[Other, Count] : Suspected->second.Shared)
       Others.push_back(Other);
     for (uint64_t Other : Others)
       this->Suspects.erase(Other);
-    this->Suspects.erase(Segment);
+    this->Suspects.erase(Id);
   }
-  if (this->EndsAt.size() >= MaxQuarantined && !this->EndsAt.contains(Segment))
+  if (this->EndsAt.size() >= MaxQuarantined && !this->EndsAt.contains(Id))
     this->EndsAt.erase(std::min_element(
         this->EndsAt.begin(), this->EndsAt.end(),
         [](const auto &A, const auto &B) { return A.second < B.second; }));
-  Instant &End = this->EndsAt[Segment];
+  Instant &End = this->EndsAt[Id];
   bool IsNew = !(Now < End);
   End = std::max(End, Now + QuarantineTime);
   return IsNew;
 }
 
-void PromptQuarantine::release(uint64_t Segment) {
-  this->EndsAt.erase(Segment);
-}
+void InputQuarantine::release(uint64_t Id) { this->EndsAt.erase(Id); }
 
-absl::Duration
-PromptQuarantine::refusedFor(const std::vector<uint64_t> &Segments,
-                             Instant Now) const {
+absl::Duration InputQuarantine::refusedFor(const RequestInput &Input,
+                                           Instant Now) const {
   absl::Duration Longest = absl::ZeroDuration();
   if (this->EndsAt.empty())
     return Longest;
-  for (uint64_t Segment : Segments) {
-    auto Found = this->EndsAt.find(Segment);
+  for (uint64_t Id : idsOf(Input)) {
+    auto Found = this->EndsAt.find(Id);
     if (Found != this->EndsAt.end())
       Longest = std::max(Longest, Found->second - Now);
   }
   return Longest;
 }
 
-bool PromptQuarantine::isSuspect(const std::vector<uint64_t> &Segments) const {
-  return std::any_of(Segments.begin(), Segments.end(), [&](uint64_t Segment) {
-    auto Found = this->Suspects.find(Segment);
-    return this->EndsAt.contains(Segment) ||
+bool InputQuarantine::isSuspect(const RequestInput &Input) const {
+  std::vector<uint64_t> Ids = idsOf(Input);
+  return std::any_of(Ids.begin(), Ids.end(), [&](uint64_t Id) {
+    auto Found = this->Suspects.find(Id);
+    return this->EndsAt.contains(Id) ||
            (Found != this->Suspects.end() &&
             Found->second.Crashes >= MinCrashesOfSuspect);
   });
 }
 
-std::vector<uint64_t> PromptQuarantine::segments() const {
+std::vector<uint64_t> InputQuarantine::inputs() const {
   std::vector<uint64_t> Result;
-  for (const auto &[Segment, End] : this->EndsAt)
-    Result.push_back(Segment);
+  for (const auto &[Id, End] : this->EndsAt)
+    Result.push_back(Id);
   return Result;
 }
 
--- a/src/refusal/refusal.cpp
+++ b/src/refusal/refusal.cpp
@@ -71,9 +71,9 @@
      "the answer is incomplete: discard it and repeat the request"},
     {RefusalKind::DeadlinePassed, "deadline_passed", 504,
      "repeat the request; operators: check the kind's deadline_ms"},
-    {RefusalKind::PromptQuarantined, "prompt_quarantined", 503,
-     "change the prompt: replicas ended under one of its segments; operators: "
-     "see the event segment_quarantined"},
+    {RefusalKind::InputQuarantined, "input_quarantined", 503,
+     "change the request: replicas ended under it or a segment of its prompt; "
+     "operators: see the event input_quarantined"},
     {RefusalKind::Internal, "internal", 500,
      "report the request id to the operators"},
 }};
