Skip limits where no replica names one, and name inputs alike

Read as a newcomer: each choice copied the data centre of every replica only to find no limit, each answer built a log line first, and some names still said segment where an input is meant. No decision changes; tests of limits and quarantines pass.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -73,7 +73,7 @@
   Operators,
   /// Written by replicas.
   Replicas,
-  /// States of roll-outs and segments in quarantine, written by the router.
+  /// States of roll-outs and inputs in quarantine, written by the router.
   RolloutStates,
   /// Addresses of hosts, written by the router.
   Hosts
@@ -159,9 +159,9 @@
   std::function<absl::StatusOr<std::pair<VersionId, RolloutState>>(
       const std::string &)>
       DecodeRolloutState;
-  /// The record of a segment in quarantine, in the topic of roll-out states.
-  std::function<StoreRecord(uint64_t Segment)> EncodeQuarantine;
-  /// The segment in quarantine that a record's key names, or nothing.
+  /// The record of an input in quarantine, in the topic of roll-out states.
+  std::function<StoreRecord(uint64_t Input)> EncodeQuarantine;
+  /// The input in quarantine that a record's key names, or nothing.
   std::function<std::optional<uint64_t>(const std::string &Key)>
       DecodeQuarantineKey;
   /// Returns the key of the service's roll-out state.
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -87,11 +87,11 @@
 void EdgeDaemon::State::applyRolloutStates(
     const std::vector<StoreRecord> &Records, Offset ReadTo) {
   for (const StoreRecord &Record : Records) {
-    std::optional<uint64_t> Segment =
+    std::optional<uint64_t> Input =
         this->Platform.Codec.DecodeQuarantineKey(Record.Key);
-    if (Segment) {
+    if (Input) {
       this->Cache.put(StoreTopic::RolloutStates, Record, ReadTo);
-      this->Quarantine->onRecord(*Segment, Record.Value.has_value());
+      this->Quarantine->onRecord(*Input, Record.Value.has_value());
       continue;
     }
     if (!Record.Value)
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -262,11 +262,14 @@
 }
 
 void Relay::logLimitedAttempt(const Replica &Target) const {
+  std::optional<double> Limit =
+      this->Core.Registry.limits().limitOf(processOf(Target));
+  if (!Limit)
+    return;
   Json::Value Line(Json::objectValue);
   Line["request"] = this->RequestId;
   Line["replica"] = Target.Entry.Id.text();
-  Line["per_second"] =
-      this->Core.Registry.limits().limitOf(processOf(Target)).value_or(0);
+  Line["per_second"] = *Limit;
   Line["attempt"] = this->AttemptsStarted;
   logEvent(LogLevel::Info, "limited_attempt", Line);
 }
@@ -311,7 +314,7 @@
           ? this->MatchedRoute->ResponseTarget * FirstByteTimeoutTargets
           : absl::ZeroDuration();
   NewAttempt->Selection = Chosen;
-  if (this->Core.Registry.limits().limitOf(processOf(*TargetReplica)))
+  if (!this->Core.Registry.limits().empty())
     this->logLimitedAttempt(*TargetReplica);
   this->Core.Registry.onRequestStarted(Chosen, Query);
   if (Chosen.PrefillTime > absl::ZeroDuration())
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -46,6 +46,7 @@
   void resolveRequest();
   void startNextAttempt();
   void sendAttempt(const Choice &Chosen, const ChoiceQuery &Query);
+  /// Logs an attempt at \p Target if it names a limit.
   void logLimitedAttempt(const Replica &Target) const;
   PrefillRateEstimator &prefillRate();
   ChoiceQuery choiceQuery() const;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -116,28 +116,32 @@
 }
 
 void Relay::noteReplicaLimit(const Attempt &Source, const HttpHead &Head) {
+  ReplicaLimits &Limits = this->Core.Registry.limits();
+  const std::string *Text =
+      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLimit);
+  if (Text == nullptr && Limits.empty())
+    return;
   const Replica &Target = *Source.TargetReplica;
+  std::optional<double> Limit = Text ? parseLimit(*Text) : std::nullopt;
+  bool Unusable = Text != nullptr && !Limit;
+  std::optional<NamedLimit> News;
+  if (!Unusable)
+    News = Limits.observe(processOf(Target), Limit, Source.SentAt, this->now());
+  if (!Unusable && !News)
+    return;
   Json::Value Line(Json::objectValue);
   Line["request"] = this->RequestId;
   Line["replica"] = Target.Entry.Id.text();
   Line["source"] = "answer";
-  const std::string *Text =
-      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLimit);
-  std::optional<double> Limit = Text ? parseLimit(*Text) : std::nullopt;
-  if (Text != nullptr && !Limit) {
+  if (Unusable)
     Line["unusable_value"] = *Text;
-    logEvent(LogLevel::Warn, "replica_limit", Line);
-    return;
-  }
-  std::optional<NamedLimit> News = this->Core.Registry.limits().observe(
-      processOf(Target), Limit, Source.SentAt, this->now());
-  if (!News)
-    return;
   if (Limit)
     Line["per_second"] = *Limit;
-  Line["sequence"] = Json::Int64(News->Sequence);
-  logEvent(LogLevel::Info, "replica_limit", Line);
-  this->Core.Hooks.OnReplicaLimit(*News);
+  if (News)
+    Line["sequence"] = Json::Int64(News->Sequence);
+  logEvent(Unusable ? LogLevel::Warn : LogLevel::Info, "replica_limit", Line);
+  if (News)
+    this->Core.Hooks.OnReplicaLimit(*News);
 }
 
 bool Relay::largerModelIsLate() {
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -272,10 +272,12 @@
   if (Group == this->ByService.end())
     return Available;
   std::vector<ReplicaPtr> Unavailable;
+  bool HasLimits = !this->Limits.empty();
   for (const ReplicaPtr &Candidate : Group->second) {
     if (!this->isEligible(*Candidate, Query) ||
         Query.Now < Candidate->PausedUntil ||
-        !this->Limits.allows(processOf(*Candidate), Query.Urgent, Query.Now))
+        (HasLimits &&
+         !this->Limits.allows(processOf(*Candidate), Query.Urgent, Query.Now)))
       continue;
     bool Excluded =
         Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
@@ -289,8 +291,10 @@
   if (Available.empty())
     return {};
   std::vector<ReplicaPtr> Unconfirmed;
+  bool HasLimits = !this->Limits.empty();
   for (const ReplicaPtr &Candidate : Available)
-    if (this->Limits.needsConfirmation(processOf(*Candidate), Query.Now))
+    if (HasLimits &&
+        this->Limits.needsConfirmation(processOf(*Candidate), Query.Now))
       Unconfirmed.push_back(Candidate);
   if (!Unconfirmed.empty())
     Available = std::move(Unconfirmed);
@@ -413,7 +417,8 @@
 void UpstreamRegistry::onRequestStarted(const Choice &Chosen,
                                         const ChoiceQuery &Query) {
   Replica &Target = *Chosen.Target;
-  this->Limits.onSent(processOf(Target), Query.Now);
+  if (!this->Limits.empty())
+    this->Limits.onSent(processOf(Target), Query.Now);
   Target.InFlight += 1;
   Target.SentSinceReport += 1;
   Target.BusyUntil =
