Log how a connection to a replica failed

Whether it timed out, was refused or failed otherwise tells a host whose packets are lost from one whose connections are reset, and the times per replica tell both from a replica that is down. No decision changes.

--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -56,7 +56,11 @@
     auto LockedOwner = this->Owner.lock();
     if (!LockedOwner)
       return;
-    bool Sent = Fault != ConnectionFault::NotConnected;
+    bool Sent = Fault != ConnectionFault::NotConnected &&
+                Fault != ConnectionFault::Refused;
+    if (!Sent)
+      this->ConnectError =
+          Fault == ConnectionFault::Refused ? "refused" : "failed";
     RetryReason Reason = !Sent ? RetryReason::ConnectFailed
                          : this->FirstByteReceived
                              ? RetryReason::CutMidStream
@@ -88,6 +92,8 @@
         this->startTimeout(this->FirstByteTimeout);
       return;
     }
+    if (!Sent)
+      this->ConnectError = "timed_out";
     LockedOwner->onAttemptFailed(
         *this, Sent ? RetryReason::LateAnswer : RetryReason::ConnectFailed,
         Outcome::ConnectionFailed, Sent);
@@ -101,6 +107,8 @@
   Instant SentAt;
   absl::Duration FirstByteTimeout;
   bool AwaitingConnect = false;
+  /// How opening the connection failed, for the log.
+  const char *ConnectError = nullptr;
   bool FirstByteReceived = false;
   bool IsStreaming = false;
   /// Events of a stream that were forwarded.
--- a/src/exchange/channel.cpp
+++ b/src/exchange/channel.cpp
@@ -34,6 +34,12 @@
   (void)setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
 }
 
+ConnectResult resultOf(const ErrorCode &Failure) {
+  bool Refused = Failure == boost::asio::error::connection_refused ||
+                 Failure == boost::asio::error::connection_reset;
+  return Refused ? ConnectResult::Refused : ConnectResult::Failed;
+}
+
 } // namespace
 
 void Channel::configureSocket() {
@@ -66,12 +72,12 @@
     if (Failure || !Self->Socket.is_open()) {
       Self->close();
       if (Receiver)
-        Receiver->onConnected(false);
+        Receiver->onConnected(resultOf(Failure));
       return;
     }
     Self->Open = true;
     if (Receiver)
-      Receiver->onConnected(true);
+      Receiver->onConnected(ConnectResult::Connected);
     Self->flush();
     Self->waitReadable();
   };
--- a/src/exchange/channel.h
+++ b/src/exchange/channel.h
@@ -19,11 +19,20 @@
 
 namespace berylramp {
 
+/// Result of opening a connection.
+enum class ConnectResult {
+  Connected,
+  /// The address refused or reset the connection.
+  Refused,
+  /// The kernel gave up, or the address is not valid.
+  Failed
+};
+
 /// Receives the events of a channel.
 class ChannelListener {
 public:
   virtual ~ChannelListener() = default;
-  virtual void onConnected(bool Success) {}
+  virtual void onConnected(ConnectResult Result) {}
   virtual void onBytes(absl::string_view Bytes) = 0;
   /// The connection was closed: by the peer's orderly shutdown if \p Orderly,
   /// otherwise by a reset, a timeout or another error.
--- a/src/exchange/http_client.cpp
+++ b/src/exchange/http_client.cpp
@@ -86,8 +86,8 @@
       this->Transport->connect(this->Remote);
   }
 
-  void onConnected(bool Success) override {
-    if (!Success)
+  void onConnected(ConnectResult Result) override {
+    if (Result != ConnectResult::Connected)
       this->fail(absl::UnavailableError(
           absl::StrCat("cannot connect to ", this->Remote.text())));
   }
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -334,6 +334,8 @@
   Line["reason"] = retryReasonName(Reason);
   Line["sent"] = Sent;
   Line["waited_ms"] = absl::ToInt64Milliseconds(this->now() - Source.SentAt);
+  if (Source.ConnectError != nullptr)
+    Line["connect"] = Source.ConnectError;
   bool Cut = Reason == RetryReason::CutBeforeFirstByte ||
              Reason == RetryReason::CutMidStream;
   if (Cut) {
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -60,11 +60,13 @@
   this->Transport->close();
 }
 
-void UpstreamConnection::onConnected(bool Success) {
+void UpstreamConnection::onConnected(ConnectResult Result) {
   this->Connecting = false;
-  this->Connected = Success;
-  if (!Success)
-    this->fail(ConnectionFault::NotConnected);
+  this->Connected = Result == ConnectResult::Connected;
+  if (!this->Connected)
+    this->fail(Result == ConnectResult::Refused
+                   ? ConnectionFault::Refused
+                   : ConnectionFault::NotConnected);
 }
 
 void UpstreamConnection::onBytes(absl::string_view Bytes) {
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -16,7 +16,9 @@
 namespace berylramp {
 
 enum class ConnectionFault {
-  /// Nothing was sent.
+  /// The replica's address refused the connection; nothing was sent.
+  Refused,
+  /// No connection for another reason; nothing was sent.
   NotConnected,
   /// Closed or reset before the end of the answer.
   Cut,
@@ -60,7 +62,7 @@
 
   Instant IdleSince;
 
-  void onConnected(bool Success) override;
+  void onConnected(ConnectResult Result) override;
   void onBytes(absl::string_view Bytes) override;
   void onClosed(bool Orderly) override;
 
