--- a/test/edge_fixture.cpp
+++ b/test/edge_fixture.cpp
@@ -117,13 +117,22 @@
   this->Daemon = this->startDaemon(this->Config, Settings);
 }
 
-std::unique_ptr<EdgeDaemon>
-EdgeFixture::startDaemon(const HostConfig &HostSettings,
-                         const EdgeSettings &Settings) {
+std::unique_ptr<EdgeDaemon> EdgeFixture::startDaemon(
+    const HostConfig &HostSettings, const EdgeSettings &Settings,
+    const std::function<Endpoint(const UpstreamId &)> &PathTo) {
   EdgePlatform Platform;
   Platform.Store = platform::createStorePort(this->Loop, this->Timer,
                                              HostSettings.Store, Settings);
   Platform.Codec = platform::codec();
+  if (PathTo)
+    Platform.Codec.DecodeReplica = [PathTo](const std::string &Key,
+                                            const std::string &Text) {
+      absl::StatusOr<ReplicaEntry> Entry =
+          platform::codec().DecodeReplica(Key, Text);
+      if (Entry.ok())
+        Entry->Address = PathTo(Entry->Id);
+      return Entry;
+    };
   auto Started = std::make_unique<EdgeDaemon>(
       this->Loop, this->Timer, HostSettings, std::move(Platform), Settings);
   REQUIRE(Started->start().ok());
--- a/test/edge_fixture.h
+++ b/test/edge_fixture.h
@@ -64,8 +64,11 @@
   void runFor(absl::Duration Time);
   void putTable(int64_t Version, const std::vector<std::string> &Keys);
   void putReplicas(const std::string &State = "ready");
-  std::unique_ptr<EdgeDaemon> startDaemon(const HostConfig &HostSettings,
-                                          const EdgeSettings &Settings);
+  /// \p PathTo returns the address at which the host reaches a replica; by
+  /// default the one that the replica published.
+  std::unique_ptr<EdgeDaemon>
+  startDaemon(const HostConfig &HostSettings, const EdgeSettings &Settings,
+              const std::function<Endpoint(const UpstreamId &)> &PathTo = {});
   /// Waits until the host whose readiness endpoint is \p Ready is ready.
   void awaitReady(const Endpoint &Ready);
   /// Sends a request with attempt id \p Id on a new connection and waits for
