--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -15,6 +15,7 @@
 #include "absl/time/time.h"
 #include "berylramp/cascade.h"
 #include "berylramp/observe.h"
+#include "berylramp/paths.h"
 #include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
 #include "berylramp/routes.h"
@@ -25,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -102,6 +104,7 @@
   boost::asio::io_context &Loop;
   std::map<Subscription, std::unique_ptr<Entry>> Entries;
   Subscription NextId = 1;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 /// Accepts connections on one address and passes complete requests to a
@@ -283,11 +286,22 @@
   std::function<void(const Replica &)> OnReplicaLeaving;
   /// Called when an answer named a limit that other hosts do not know yet.
   std::function<void(const NamedLimit &)> OnReplicaLimit;
+  /// Chooses the tunnel server of another host, not one of \p Tried, to reach
+  /// the replica over; nothing when there is none.
+  std::function<std::optional<Endpoint>(const Replica &,
+                                        const std::vector<Endpoint> &Tried)>
+      ChoosePeer = [](const Replica &, const std::vector<Endpoint> &) {
+        return std::nullopt;
+      };
+  /// Called when another host did not open a tunnel.
+  std::function<void(const Endpoint &Peer)> OnPeerFailed =
+      [](const Endpoint &) {};
   /// Called when a different replica answered at the address of this one.
   std::function<void(const UpstreamId &)> OnMisdirected;
 };
 
 struct RelayCore;
+class TunnelServer;
 
 /// Relays callers' requests to replicas.
 class Exchange {
@@ -307,9 +321,20 @@
   void abortAll();
   /// Closes connections that have exceeded the maximum idle time.
   void closeIdleConnections();
+  /// Tries connections over lost paths to replicas; to be called periodically.
+  void probePaths();
+  /// Whether this host lost its path to a group of replicas.
+  bool hasLostPaths() const;
+  /// Opens connections to replicas for other hosts.
+  absl::Status serveTunnels(const Endpoint &ListenAddress);
+  /// Tunnels of other hosts with an answer in progress.
+  size_t busyTunnels() const;
+  size_t openTunnels() const;
+  void closeTunnels();
 
 private:
   std::shared_ptr<RelayCore> Shared;
+  std::unique_ptr<TunnelServer> Tunnels;
 };
 
 } // namespace berylramp
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -94,6 +94,8 @@
   PlaceId Place;
   bool Ready = false;
   bool Leaving = false;
+  /// The host lost its path to a group of replicas.
+  bool LostPaths = false;
   StoreRole Store = StoreRole::Standby;
   TableVersion Table = NoTable;
   std::vector<RolloutReport> Rollouts;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -15,6 +15,7 @@
 #include "berylramp/units.h"
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -318,10 +319,16 @@
                    Instant Now) const;
   /// The request was cancelled before its first byte.
   void onRequestCancelled(const Choice &Chosen, Instant Now) const;
+  /// The request did not leave this host.
+  void onRequestNotSent(const Choice &Chosen) const;
   /// Another host sent a prompt to the replica with the hash \p IdHash.
   void addRemoteWork(uint64_t IdHash, absl::Duration PrefillTime,
                      Instant Now) const;
   void onRequestEnded(Replica &Target, Outcome Result, Instant Now) const;
+  /// Drops what failed connections said about the replicas that \p Matches
+  /// selects: this host was cut off from them.
+  void
+  forgiveFailures(const std::function<bool(const Replica &)> &Matches) const;
   void onLoadReport(Replica &Target, const ReportedLoad &Load) const;
 
   /// The limits that replicas name, and this host's parts of them.
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -46,6 +46,41 @@
   return addressesOf(Usable, Query.MaxHosts);
 }
 
+std::vector<uint32_t>
+tunnelCandidates(const TunnelQuery &Query,
+                 const std::vector<const PeerState *> &Hosts) {
+  auto RegionOf = [&](const PlaceId &Place) {
+    auto Found = Query.Regions->find(Place);
+    return Found == Query.Regions->end() ? std::string() : Found->second;
+  };
+  std::string OwnRegion = RegionOf(Query.OwnPlace);
+  // The bytes cross the link to the replica's data centre in any case.
+  auto RankOf = [&](const PeerState &Host) {
+    constexpr int LostPathsRank = 10;
+    int Rank = Host.Place == Query.ReplicaPlace    ? 0
+               : Host.Place == Query.OwnPlace      ? 1
+               : RegionOf(Host.Place) == OwnRegion ? 2
+                                                   : 3;
+    return Host.LostPaths ? Rank + LostPathsRank : Rank;
+  };
+  std::vector<uint32_t> Best;
+  int BestRank = 0;
+  for (const PeerState *Host : Hosts) {
+    bool IsExcluded = std::find(Query.Excluded.begin(), Query.Excluded.end(),
+                                Host->Ip) != Query.Excluded.end();
+    if (!Host->Ready || Host->Leaving || IsExcluded)
+      continue;
+    int Rank = RankOf(*Host);
+    if (!Best.empty() && Rank > BestRank)
+      continue;
+    if (Rank < BestRank)
+      Best.clear();
+    BestRank = Rank;
+    Best.push_back(Host->Ip);
+  }
+  return Best;
+}
+
 uint32_t chooseReader(const std::vector<const PeerState *> &Candidates,
                       uint32_t Fallback) {
   uint32_t CurrentReader = 0;
--- a/src/edge/directory.h
+++ b/src/edge/directory.h
@@ -22,6 +22,22 @@
 std::vector<uint32_t> hostsFor(const DirectoryQuery &Query,
                                const std::vector<PeerState> &Hosts);
 
+/// A host that needs another one to reach a replica.
+struct TunnelQuery {
+  PlaceId OwnPlace;
+  PlaceId ReplicaPlace;
+  /// Region of each data centre.
+  const std::map<PlaceId, std::string> *Regions = nullptr;
+  /// Hosts that were tried for the request, or failed to help recently.
+  std::vector<uint32_t> Excluded;
+};
+
+/// Addresses of the hosts that serve equally well; those without a lost path
+/// first, then by their distance.
+std::vector<uint32_t>
+tunnelCandidates(const TunnelQuery &Query,
+                 const std::vector<const PeerState *> &Hosts);
+
 /// Selects the host that reads the store for a region: the one with the lowest
 /// address of the current readers in \p Candidates, or else of all candidates
 /// that can read; \p Fallback when there is none.
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -57,6 +57,11 @@
   this->Registry.sweep(Now);
   this->Peers.sweep(Now);
   this->Relayer->closeIdleConnections();
+  for (auto Failed = this->FailedPeers.begin();
+       Failed != this->FailedPeers.end();)
+    Failed = Now - Failed->second > PeerFailureTime
+                 ? this->FailedPeers.erase(Failed)
+                 : std::next(Failed);
 }
 
 void EdgeDaemon::State::detectHostPause() {
@@ -75,18 +80,23 @@
 void EdgeDaemon::State::finishStop() {
   if (!this->OnStopped)
     return;
+  this->closeAll();
+  std::function<void()> Done;
+  std::swap(Done, this->OnStopped);
+  Done();
+}
+
+void EdgeDaemon::State::closeAll() {
   this->Relayer->abortAll();
+  this->Relayer->closeTunnels();
   this->CallerListener->close();
   this->ReadyListener->close();
   this->DirectoryListener->close();
   this->PeerListener->close();
   this->Link->close();
-  this->Operators->stop();
-  this->States->stop();
-  this->Replicas->stop();
-  std::function<void()> Done;
-  std::swap(Done, this->OnStopped);
-  Done();
+  for (const auto &Follower : {this->Operators, this->States, this->Replicas})
+    if (Follower != nullptr)
+      Follower->stop();
 }
 
 EdgeDaemon::EdgeDaemon(boost::asio::io_context &Loop, LoopTimer &Timer,
@@ -95,7 +105,10 @@
     : Shared(std::make_shared<State>(Loop, Timer, std::move(Config),
                                      std::move(Platform), Settings)) {}
 
-EdgeDaemon::~EdgeDaemon() = default;
+EdgeDaemon::~EdgeDaemon() {
+  if (this->Shared->Link != nullptr)
+    this->Shared->closeAll();
+}
 
 absl::Status EdgeDaemon::start() { return this->Shared->start(); }
 
@@ -117,6 +130,7 @@
         Self->Timer.now() - Self->LeavingSince > Self->Settings.RefuseNewDelay;
     // An answer that its caller has not read completely is still sent.
     if (RefusesNew && Self->Relayer->activeRequests() == 0 &&
+        Self->Relayer->busyTunnels() == 0 &&
         Self->CallerListener->busyConnections() == 0)
       Self->finishStop();
   });
@@ -135,6 +149,10 @@
   Gauges.push_back(
       {"berylramp_requests_active",
        static_cast<double>(this->Shared->Relayer->activeRequests())});
+  Gauges.push_back({"berylramp_tunnels_open",
+                    static_cast<double>(this->Shared->Relayer->openTunnels())});
+  Gauges.push_back({"berylramp_paths_lost",
+                    this->Shared->Relayer->hasLostPaths() ? 1.0 : 0.0});
   Gauges.push_back({"berylramp_replicas_known",
                     static_cast<double>(this->Shared->Registry.size())});
   Gauges.push_back({"berylramp_peers_known",
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -73,6 +73,13 @@
     return this->Rollouts->observe(Observation);
   };
   this->addQuarantineHooks(Hooks);
+  Hooks.ChoosePeer = [this](const Replica &Target,
+                            const std::vector<Endpoint> &Tried) {
+    return this->choosePeer(Target, Tried);
+  };
+  Hooks.OnPeerFailed = [this](const Endpoint &Peer) {
+    this->FailedPeers[parseIp(Peer.Ip)] = this->Timer.now();
+  };
   Hooks.RejectsNewRequests = [this] {
     return this->Leaving && this->Timer.now() - this->LeavingSince >
                                 this->Settings.RefuseNewDelay;
@@ -230,6 +237,8 @@
   Opened.Update(this->DirectoryListener->listen(this->Config.Directory));
   if (this->Config.Peers.Port != 0)
     Opened.Update(this->PeerListener->listen(this->Config.Peers));
+  Opened.Update(
+      this->Relayer->serveTunnels({this->Config.Ip, this->Config.GossipPort}));
   if (!Opened.ok())
     return Opened;
   this->detectHostPause();
@@ -237,6 +246,10 @@
   this->Link->sendState();
   this->Timer.schedulePeriodic(TickInterval, [this] { this->tick(); });
   this->Timer.schedulePeriodic(SweepInterval, [this] { this->sweep(); });
+  this->Timer.schedulePeriodic(PathProbeInterval, [this] {
+    this->Relayer->probePaths();
+    this->announcePaths();
+  });
   this->Timer.schedulePeriodic(this->Settings.PeerReadInterval,
                                [this] { this->updateRecordSource(); });
   this->Timer.schedulePeriodic(this->Settings.GossipInterval, [this] {
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -18,6 +18,8 @@
 /// Interval of the daemon's periodic work.
 inline constexpr absl::Duration TickInterval = absl::Milliseconds(250);
 inline constexpr absl::Duration SweepInterval = absl::Seconds(1);
+/// Interval of the connections that find out whether a lost path works again.
+inline constexpr absl::Duration PathProbeInterval = absl::Milliseconds(300);
 /// First delay between calls to the store about host addresses. A datagram of a
 /// live seed arrives within it.
 inline constexpr absl::Duration InitialHostsRetry = absl::Milliseconds(1500);
@@ -31,6 +33,9 @@
 inline constexpr double RetryRatioFraction = 0.75;
 inline constexpr double RetrySlackFraction = 0.8;
 
+/// Time for which a host that failed to open a tunnel is avoided.
+inline constexpr absl::Duration PeerFailureTime = absl::Seconds(1);
+
 struct EdgeDaemon::State : std::enable_shared_from_this<EdgeDaemon::State> {
   State(boost::asio::io_context &Loop, LoopTimer &Timer, HostConfig Config,
         EdgePlatform Platform, EdgeSettings Settings)
@@ -89,6 +94,9 @@
   void addQuarantineHooks(ExchangeHooks &Hooks);
   void createQuarantine();
   void connectLimits();
+  std::optional<Endpoint> choosePeer(const Replica &Target,
+                                     const std::vector<Endpoint> &Tried) const;
+  void announcePaths();
   /// Tells the other hosts of a limit, and takes this host's part of it.
   void shareLimit(const NamedLimit &News);
   void onLimitReport(const NamedLimit &Report);
@@ -125,6 +133,7 @@
                       const ResponderPtr &Responder);
   void servePeers(const CallerRequest &Request, const ResponderPtr &Responder);
   void finishStop();
+  void closeAll();
   int writerRank() const;
   size_t hostCount() const;
   double retrySlackShare() const;
@@ -170,6 +179,8 @@
   /// Difference between the boot clock and the steady clock at the last
   /// reading; infinite before the first one.
   absl::Duration ClockGap = absl::InfiniteDuration();
+  /// When other hosts last failed to open a tunnel, by address.
+  std::map<uint32_t, Instant> FailedPeers;
   bool Leaving = false;
   Instant LeavingSince;
   std::function<void()> OnStopped;
--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -15,6 +15,7 @@
 class AttemptOwner {
 public:
   virtual ~AttemptOwner() = default;
+  virtual void onAttemptConnected(Attempt &Source) = 0;
   virtual void onAttemptHead(Attempt &Source, const HttpHead &Head) = 0;
   virtual void onAttemptBody(Attempt &Source, const std::string &Chunk) = 0;
   virtual void onAttemptEnd(Attempt &Source) = 0;
@@ -37,6 +38,10 @@
       *this->BufferedBytes -= this->Body.size();
   }
 
+  void onConnected() override {
+    if (auto LockedOwner = this->Owner.lock())
+      LockedOwner->onAttemptConnected(*this);
+  }
   void onHead(const HttpHead &AnswerHead) override {
     this->TimeoutTimer.cancel();
     if (auto LockedOwner = this->Owner.lock())
@@ -51,16 +56,13 @@
     if (auto LockedOwner = this->Owner.lock())
       LockedOwner->onAttemptEnd(*this);
   }
-  void onFault(ConnectionFault Fault) override {
+  void onFault(ConnectionFault NewFault) override {
     this->TimeoutTimer.cancel();
     auto LockedOwner = this->Owner.lock();
     if (!LockedOwner)
       return;
-    bool Sent = Fault != ConnectionFault::NotConnected &&
-                Fault != ConnectionFault::Refused;
-    if (!Sent)
-      this->ConnectError =
-          Fault == ConnectionFault::Refused ? "refused" : "failed";
+    this->Fault = NewFault;
+    bool Sent = mayHaveArrived(NewFault);
     RetryReason Reason = !Sent ? RetryReason::ConnectFailed
                          : this->FirstByteReceived
                              ? RetryReason::CutMidStream
@@ -92,8 +94,10 @@
         this->startTimeout(this->FirstByteTimeout);
       return;
     }
+    this->TimedOut = true;
     if (!Sent)
-      this->ConnectError = "timed_out";
+      this->Fault = this->Peer ? ConnectionFault::PeerUnavailable
+                               : ConnectionFault::NotConnected;
     LockedOwner->onAttemptFailed(
         *this, Sent ? RetryReason::LateAnswer : RetryReason::ConnectFailed,
         Outcome::ConnectionFailed, Sent);
@@ -107,8 +111,12 @@
   Instant SentAt;
   absl::Duration FirstByteTimeout;
   bool AwaitingConnect = false;
-  /// How opening the connection failed, for the log.
-  const char *ConnectError = nullptr;
+  std::optional<ConnectionFault> Fault;
+  bool TimedOut = false;
+  /// The host over which the replica is reached; nothing for a direct
+  /// connection.
+  std::optional<Endpoint> Peer;
+  Instant LastByteAt;
   bool FirstByteReceived = false;
   bool IsStreaming = false;
   /// Events of a stream that were forwarded.
--- a/src/exchange/channel.cpp
+++ b/src/exchange/channel.cpp
@@ -8,6 +8,7 @@
 
 #include "channel.h"
 
+#include "absl/strings/str_cat.h"
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -42,6 +43,31 @@
 
 } // namespace
 
+absl::Status openAcceptor(tcp::acceptor &Acceptor,
+                          const Endpoint &ListenAddress, int Backlog) {
+  ErrorCode Error;
+  auto Fail = [&](const char *Operation) {
+    return absl::UnavailableError(absl::StrCat(
+        Operation, " ", ListenAddress.text(), " failed: ", Error.message(),
+        "; free the address or correct it in the settings file"));
+  };
+  auto Address = boost::asio::ip::make_address_v4(ListenAddress.Ip, Error);
+  if (Error)
+    return Fail("reading the address");
+  Acceptor.open(tcp::v4(), Error);
+  if (Error)
+    return Fail("opening a socket for");
+  Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  Acceptor.bind(
+      tcp::endpoint(Address, static_cast<uint16_t>(ListenAddress.Port)), Error);
+  if (Error)
+    return Fail("binding");
+  Acceptor.listen(Backlog, Error);
+  if (Error)
+    return Fail("listening at");
+  return absl::OkStatus();
+}
+
 void Channel::configureSocket() {
   ErrorCode Ignored;
   this->Socket.non_blocking(true, Ignored);
@@ -110,12 +136,16 @@
     if (Error == boost::asio::error::would_block) {
       this->Writing = true;
       auto Self = this->shared_from_this();
-      this->Socket.async_wait(tcp::socket::wait_write,
-                              [Self](const ErrorCode &Failure) {
-                                Self->Writing = false;
-                                if (!Failure)
-                                  Self->flush();
-                              });
+      this->Socket.async_wait(
+          tcp::socket::wait_write, [Self](const ErrorCode &Failure) {
+            Self->Writing = false;
+            if (Failure)
+              return;
+            Self->flush();
+            auto Receiver = Self->Listener.lock();
+            if (Receiver && Self->Open && Self->Queue.empty())
+              Receiver->onDrained();
+          });
       return;
     }
     if (Error) {
--- a/src/exchange/channel.h
+++ b/src/exchange/channel.h
@@ -9,6 +9,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CHANNEL_H
 #define BERYLRAMP_EXCHANGE_CHANNEL_H
 
+#include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "berylramp/units.h"
@@ -37,8 +38,15 @@
   /// The connection was closed: by the peer's orderly shutdown if \p Orderly,
   /// otherwise by a reset, a timeout or another error.
   virtual void onClosed(bool Orderly) = 0;
+  /// All bytes were passed to the kernel after it had been unable to take more.
+  virtual void onDrained() {}
 };
 
+/// Opens \p Acceptor at \p ListenAddress for up to \p Backlog connections that
+/// wait to be accepted.
+absl::Status openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
+                          const Endpoint &ListenAddress, int Backlog);
+
 class Channel : public std::enable_shared_from_this<Channel> {
 public:
   explicit Channel(boost::asio::io_context &Loop) : Socket(Loop) {}
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "path_controller.h"
 #include "upstream_connection.h"
 #include <map>
 #include <unordered_set>
@@ -17,7 +18,14 @@
             ExchangeSettings Settings, ExchangeHooks Hooks)
       : Loop(Loop), Timer(Timer), Counters(Counters), Registry(Registry),
         Settings(std::move(Settings)), Hooks(std::move(Hooks)),
-        Pool(this->Settings.MaxIdleTime) {}
+        Pool(this->Settings.MaxIdleTime),
+        Paths(std::make_shared<PathController>(Loop, Timer, Registry)) {
+    this->Paths->ChoosePeer = this->Hooks.ChoosePeer;
+    this->Paths->OnLost = [this](bool Hangs) { this->onPathLost(Hangs); };
+  }
+
+  /// Moves requests that wait for lost paths.
+  void onPathLost(bool Hangs);
 
   RetryBudget &budget(const ServiceId &Service) {
     auto Found = this->Budgets.find(Service);
@@ -35,6 +43,7 @@
   ExchangeSettings Settings;
   ExchangeHooks Hooks;
   UpstreamPool Pool;
+  std::shared_ptr<PathController> Paths;
   std::map<ServiceId, RetryBudget> Budgets;
   /// By service and model.
   std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -1,6 +1,7 @@
 //===- exchange.cpp - The set of active relays ----------------------------===//
 
 #include "relay.h"
+#include "tunnel.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -15,7 +16,35 @@
                    ExchangeSettings Settings, ExchangeHooks Hooks)
     : Shared(std::make_shared<RelayCore>(Loop, Timer, Counters, Registry,
                                          std::move(Settings),
-                                         std::move(Hooks))) {}
+                                         std::move(Hooks))) {
+  TunnelHooks Server;
+  std::weak_ptr<PathController> Weak = this->Shared->Paths;
+  Server.Find = [&Registry](uint64_t Hash) -> std::optional<PathTarget> {
+    std::optional<UpstreamId> Id = Registry.idOf(Hash);
+    if (!Id)
+      return std::nullopt;
+    return pathTargetOf(*Registry.find(*Id));
+  };
+  Server.AddressOf = [&Registry](uint64_t Hash) {
+    return Registry.find(*Registry.idOf(Hash))->Entry.Address;
+  };
+  Server.OnReached = [Weak](const PathTarget &Target) {
+    if (auto Paths = Weak.lock())
+      Paths->onReached(Target);
+  };
+  Server.OnUnreached = [Weak](const PathTarget &Target, Instant Since,
+                              bool Hangs) {
+    if (auto Paths = Weak.lock())
+      Paths->onUnreached(Target, Since, Hangs);
+  };
+  Server.ExplainRefusal = [Weak](const PathTarget &Target,
+                                 TunnelCallback Done) {
+    if (auto Paths = Weak.lock())
+      Paths->explainRefusal(Target, std::move(Done));
+  };
+  this->Tunnels =
+      std::make_unique<TunnelServer>(Loop, Timer, std::move(Server));
+}
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
 Exchange::~Exchange() { this->abortAll(); }
@@ -42,6 +71,20 @@
     ActiveRelay->abort("the host is shutting down");
 }
 
+void Exchange::probePaths() { this->Shared->Paths->probe(); }
+
+bool Exchange::hasLostPaths() const { return this->Shared->Paths->anyLost(); }
+
+absl::Status Exchange::serveTunnels(const Endpoint &ListenAddress) {
+  return this->Tunnels->listen(ListenAddress);
+}
+
+size_t Exchange::busyTunnels() const { return this->Tunnels->busyTunnels(); }
+
+size_t Exchange::openTunnels() const { return this->Tunnels->tunnels(); }
+
+void Exchange::closeTunnels() { this->Tunnels->close(); }
+
 void Exchange::closeIdleConnections() {
   this->Shared->Pool.closeExpired(this->Shared->Timer.now());
 }
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -364,29 +364,11 @@
 HttpListener::~HttpListener() { this->close(); }
 
 absl::Status HttpListener::listen(const Endpoint &ListenAddress) {
-  boost::system::error_code Error;
-  auto Fail = [&](const char *Operation) {
-    return absl::UnavailableError(absl::StrCat(
-        Operation, " ", ListenAddress.text(), " failed: ", Error.message(),
-        "; free the address or correct it in the settings file"));
-  };
-  auto Address = boost::asio::ip::make_address_v4(ListenAddress.Ip, Error);
-  if (Error)
-    return Fail("reading the address");
-  tcp::acceptor &Acceptor = this->Shared->Acceptor;
-  Acceptor.open(tcp::v4(), Error);
-  if (Error)
-    return Fail("opening a socket for");
-  Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  Acceptor.bind(
-      tcp::endpoint(Address, static_cast<uint16_t>(ListenAddress.Port)), Error);
-  if (Error)
-    return Fail("binding");
-  Acceptor.listen(AcceptBacklog, Error);
-  if (Error)
-    return Fail("listening at");
-  this->Shared->accept();
-  return absl::OkStatus();
+  absl::Status Opened =
+      openAcceptor(this->Shared->Acceptor, ListenAddress, AcceptBacklog);
+  if (Opened.ok())
+    this->Shared->accept();
+  return Opened;
 }
 
 void HttpListener::startDraining() { this->Shared->Draining = true; }
--- a/src/exchange/loop_timer.cpp
+++ b/src/exchange/loop_timer.cpp
@@ -67,7 +67,11 @@
   Scheduled.DelayTimer.expires_after(
       absl::ToChronoNanoseconds(Scheduled.Period));
   Scheduled.DelayTimer.async_wait(
-      [this, Id](const boost::system::error_code &Error) {
+      [this, Id, Weak = std::weak_ptr<bool>(this->Alive)](
+          const boost::system::error_code &Error) {
+        // A handler that was queued may run after the timer's destruction.
+        if (Weak.expired())
+          return;
         auto Found = this->Entries.find(Id);
         if (Error || Found == this->Entries.end())
           return;
@@ -75,7 +79,7 @@
         if (!Found->second->Repeats)
           this->Entries.erase(Found);
         Call();
-        if (this->Entries.count(Id) != 0)
+        if (!Weak.expired() && this->Entries.count(Id) != 0)
           this->arm(Id);
       });
 }
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -291,13 +291,8 @@
                                               TargetReplica, Core.Loop);
   this->Current = NewAttempt;
   bool MayReuse = this->MatchedRoute->Repeats != Repeatability::AtMostOnce;
-  if (MayReuse)
-    NewAttempt->Connection =
-        this->Core.Pool.acquire(TargetReplica->Entry.Id, Now);
-  bool IsNewConnection = NewAttempt->Connection == nullptr;
-  if (IsNewConnection)
-    NewAttempt->Connection = std::make_shared<UpstreamConnection>(
-        Core.Loop, TargetReplica->Entry.Address);
+  this->connectAttempt(*NewAttempt, MayReuse);
+  bool IsNewConnection = !NewAttempt->Connection->isConnected();
   ForwardOverrides Overrides;
   Overrides.DeadlineMs =
       std::max<int64_t>(1, absl::ToInt64Milliseconds(this->DeadlineAt - Now));
@@ -307,6 +302,7 @@
   Overrides.LastEventId = this->Sequence.lastId();
   Overrides.Urgency = this->priority();
   NewAttempt->SentAt = Now;
+  NewAttempt->LastByteAt = Now;
   bool HasFirstByteTimeout =
       MayReuse && this->AttemptsSent + 1 < this->MatchedRoute->MaxAttempts;
   NewAttempt->FirstByteTimeout =
@@ -323,7 +319,8 @@
   this->Execution.markSent();
   NewAttempt->AwaitingConnect = IsNewConnection;
   if (IsNewConnection)
-    NewAttempt->startTimeout(Core.Settings.ConnectTimeout);
+    NewAttempt->startTimeout(NewAttempt->Peer ? MaxTunnelDelay
+                                              : Core.Settings.ConnectTimeout);
   else if (HasFirstByteTimeout)
     NewAttempt->startTimeout(NewAttempt->FirstByteTimeout);
   NewAttempt->Connection->start(
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -34,6 +34,11 @@
   /// Ends the request without a complete answer.
   void abort(const char *Reason);
 
+  /// Moves the request if it waits for a path that was lost. \p Hangs states
+  /// that connections over the path are silent.
+  void onPathLost(bool Hangs);
+
+  void onAttemptConnected(Attempt &Source) override;
   void onAttemptHead(Attempt &Source, const HttpHead &Head) override;
   void onAttemptBody(Attempt &Source, const std::string &Chunk) override;
   void onAttemptEnd(Attempt &Source) override;
@@ -56,6 +61,11 @@
   bool mayRetry() const;
 
   void onAttemptRejected(Attempt &Source, Outcome Result);
+  /// Opens the connection of an attempt, or takes an idle one.
+  void connectAttempt(Attempt &NewAttempt, bool MayReuse);
+  /// Applies a failure of the connection to the paths that are known; returns
+  /// what it says about the replica.
+  Outcome notePathFailure(Attempt &Source, Outcome Result, bool Sent);
 
   void bufferAnswer(Attempt &Source, const std::string &Chunk);
   /// Starts to wait for the next event of a stream.
@@ -88,6 +98,10 @@
   void noteInputAnswered(Attempt &Source);
   void armDeadline();
   void observe(Attempt &Source, AnswerEvent Event);
+  AnswerObservation observationOf(Attempt &Source, AnswerEvent Event);
+  /// Observes an answer that did not come, or broke off, once the replica is
+  /// known to be the cause.
+  void observeMissing(Attempt &Source);
   /// Observes the pace of a stream once, when enough of it was received.
   void observeEvents(Attempt &Source, bool Ended);
   Instant now() const { return this->Core.Timer.now(); }
@@ -115,6 +129,9 @@
   CancellableTimer DeadlineTimer;
   std::shared_ptr<Attempt> Current;
   std::vector<UpstreamId> TriedReplicas;
+  std::vector<Endpoint> TriedPeers;
+  /// A direct connection was not opened; the next one goes over another host.
+  bool AvoidsDirectPath = false;
   std::string LastReplica;
   std::string LastVersion;
   /// Predicted wait and work of the last attempt, logged for comparison with
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -6,7 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "end_check.h"
+#include "connection_check.h"
 #include "relay.h"
 
 #include "absl/strings/numbers.h"
@@ -26,6 +26,7 @@
 /// a stream is evidence.
 constexpr absl::Duration EventsTime = absl::Seconds(1);
 constexpr int MinEvents = 3;
+constexpr absl::Duration CrashCheckTimeout = absl::Milliseconds(500);
 
 } // namespace
 
@@ -34,6 +35,9 @@
   Instant Now = this->now();
   Source.Head = Head;
   Source.FirstByteReceived = true;
+  Source.LastByteAt = Now;
+  if (!Source.Peer)
+    this->Core.Paths->onHeard(*Source.TargetReplica);
   this->Core.Registry.onFirstByte(Source.Selection, Now - Source.SentAt, Now);
   if (Head.Status == 200 && this->MatchedRoute->EventStream)
     this->prefillRate().addSample(
@@ -180,6 +184,7 @@
 }
 
 void Relay::onAttemptBody(Attempt &Source, const std::string &Chunk) {
+  Source.LastByteAt = this->now();
   if (Source.IsStreaming)
     this->forwardEvents(Source, Chunk);
   else
@@ -334,8 +339,12 @@
   Line["reason"] = retryReasonName(Reason);
   Line["sent"] = Sent;
   Line["waited_ms"] = absl::ToInt64Milliseconds(this->now() - Source.SentAt);
-  if (Source.ConnectError != nullptr)
-    Line["connect"] = Source.ConnectError;
+  if (Source.Peer)
+    Line["peer"] = Source.Peer->Ip;
+  if (!Sent)
+    Line["connect"] = Source.TimedOut                            ? "timed_out"
+                      : Source.Fault == ConnectionFault::Refused ? "refused"
+                                                                 : "failed";
   bool Cut = Reason == RetryReason::CutBeforeFirstByte ||
              Reason == RetryReason::CutMidStream;
   if (Cut) {
@@ -349,10 +358,17 @@
   this->Core.Counters.countRetry(Reason);
   if (Cut)
     this->noteInputCrash(Source);
-  if (Sent)
+  bool ConnectionBroke = !Sent || Source.Fault == ConnectionFault::Reset ||
+                         Reason == RetryReason::LateAnswer;
+  if (ConnectionBroke)
+    Result = this->notePathFailure(Source, Result, Sent);
+  if (Sent && ConnectionBroke)
+    this->observeMissing(Source);
+  else if (Sent)
     this->observe(Source, AnswerEvent::Failure);
   this->endAttempt(Result);
   if (!Sent) {
+    this->Core.Registry.onRequestNotSent(Source.Selection);
     this->Execution.markNotSent();
     this->AttemptsSent -= 1;
   }
@@ -365,10 +381,13 @@
   if (!JustBegan)
     return;
   this->RepeatsForbidden = !this->Core.Hooks.MayRepeatInput(this->Input);
-  checkEnded(this->Core.Loop, Source.TargetReplica->Entry.Address,
-             [Owner = this->CoreOwner, &Core = this->Core,
-              Ended = Source.TargetReplica,
-              Input = this->Input] { Core.Hooks.OnInputCrash(*Ended, Input); });
+  checkConnection(
+      this->Core.Loop, Source.TargetReplica->Entry.Address, CrashCheckTimeout,
+      [Owner = this->CoreOwner, &Core = this->Core,
+       Ended = Source.TargetReplica, Input = this->Input](TunnelAnswer Answer) {
+        if (Answer == TunnelAnswer::Refused)
+          Core.Hooks.OnInputCrash(*Ended, Input);
+      });
 }
 
 void Relay::noteInputAnswered(Attempt &Source) {
@@ -387,9 +406,7 @@
   this->observe(Source, AnswerEvent::Events);
 }
 
-void Relay::observe(Attempt &Source, AnswerEvent Event) {
-  if (Source.IsBad)
-    return;
+AnswerObservation Relay::observationOf(Attempt &Source, AnswerEvent Event) {
   AnswerObservation Observation;
   Observation.Service = this->Service;
   Observation.Version = Source.TargetReplica->Entry.Version;
@@ -401,7 +418,14 @@
                          : this->now() - Source.SentAt;
   Observation.Counted = Source.Observed;
   Source.Observed = true;
-  Source.IsBad = this->Core.Hooks.ObserveAnswer(Observation);
+  return Observation;
+}
+
+void Relay::observe(Attempt &Source, AnswerEvent Event) {
+  if (Source.IsBad)
+    return;
+  Source.IsBad =
+      this->Core.Hooks.ObserveAnswer(this->observationOf(Source, Event));
 }
 
 void Relay::endAttempt(Outcome Result) {
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -62,7 +62,7 @@
 void Relay::onDeadline() {
   bool Sent = this->Current != nullptr;
   if (Sent)
-    this->observe(*this->Current, AnswerEvent::Failure);
+    this->observeMissing(*this->Current);
   this->endAttempt(Outcome::Neutral);
   if (this->StreamStarted) {
     this->CallerResponder->abort();
@@ -81,7 +81,7 @@
   bool Late = !this->StreamStarted && this->now() - this->Request.ArrivedAt >
                                           this->MatchedRoute->ResponseTarget;
   if (Late && this->Current != nullptr)
-    this->observe(*this->Current, AnswerEvent::Failure);
+    this->observeMissing(*this->Current);
   this->endAttempt(Outcome::Neutral);
   this->finish("caller_left", 0, "");
 }
--- /dev/null
+++ b/src/exchange/tunnel.cpp
@@ -0,0 +1,353 @@
+//===- tunnel.cpp - Connections to replicas over another host -------------===//
+//
+// The request for a tunnel is an HTTP CONNECT that names a replica. A side that
+// is slow to read stops the reading of the other one, so that a tunnel holds a
+// bounded number of bytes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "tunnel.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "cancellable_timer.h"
+#include "channel.h"
+#include "http_parse.h"
+
+namespace berylramp {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr int AcceptBacklog = 256;
+/// Each tunnel takes two file descriptors.
+constexpr size_t MaxTunnels = 1000;
+constexpr size_t MaxUnsentBytes = 64U << 10;
+/// Timeouts for the request and for opening the connection to the replica.
+constexpr absl::Duration RequestTimeout = absl::Seconds(2);
+constexpr absl::Duration ConnectTimeout = absl::Milliseconds(400);
+/// A tunnel over which an answer came to a stop for longer is idle.
+constexpr absl::Duration BusyTime = absl::Milliseconds(500);
+
+int statusOf(TunnelAnswer Answer) {
+  switch (Answer) {
+  case TunnelAnswer::Connected:
+    return 200;
+  case TunnelAnswer::Refused:
+    return 502;
+  case TunnelAnswer::ServiceRefused:
+    return 500;
+  case TunnelAnswer::TimedOut:
+    return 504;
+  case TunnelAnswer::Unavailable:
+    break;
+  }
+  return 503;
+}
+
+class Tunnel;
+
+/// One of the two connections of a tunnel.
+class TunnelSide : public ChannelListener {
+public:
+  TunnelSide(Tunnel &Owner, bool IsHost) : Owner(Owner), IsHost(IsHost) {}
+  void onConnected(ConnectResult Result) override;
+  void onBytes(absl::string_view Bytes) override;
+  void onClosed(bool Orderly) override;
+  void onDrained() override;
+
+private:
+  Tunnel &Owner;
+  bool IsHost;
+};
+
+class Tunnel : public std::enable_shared_from_this<Tunnel> {
+public:
+  using RemoveCallback = std::function<void(const std::shared_ptr<Tunnel> &)>;
+
+  Tunnel(boost::asio::io_context &Loop, TimerService &Timer,
+         const TunnelHooks &Hooks, tcp::socket Socket, RemoveCallback Remove)
+      : Timer(Timer), Hooks(Hooks),
+        Host(std::make_shared<Channel>(std::move(Socket))),
+        Replica(std::make_shared<Channel>(Loop)),
+        HostSide(std::make_shared<TunnelSide>(*this, true)),
+        ReplicaSide(std::make_shared<TunnelSide>(*this, false)),
+        TimeoutTimer(Loop), Remove(std::move(Remove)),
+        Parser(std::make_unique<RequestParser>(CallerLimits())) {}
+
+  void start(bool HasRoom) {
+    this->IsRefused = !HasRoom;
+    this->Host->setListener(this->HostSide);
+    this->startTimeout(RequestTimeout, [](Tunnel &Self) { Self.end(); });
+    this->Host->startAccepted();
+  }
+
+  void end() {
+    auto Self = this->shared_from_this();
+    this->TimeoutTimer.cancel();
+    this->Host->close();
+    this->Replica->close();
+    this->Remove(Self);
+  }
+
+  bool isBusy() const {
+    return this->IsEstablished &&
+           (this->IsAwaitingAnswer ||
+            this->Timer.now() - this->LastByteAt < BusyTime);
+  }
+
+  void onHostBytes(absl::string_view Bytes) {
+    if (this->IsEstablished) {
+      this->forward(Bytes, /*ToReplica=*/true);
+      return;
+    }
+    this->Buffer.append(Bytes.data(), Bytes.size());
+    if (this->Parser == nullptr)
+      return;
+    if (this->Parser->feed(this->Buffer) != ParseFault::None) {
+      this->end();
+      return;
+    }
+    if (!this->Parser->done())
+      return;
+    CallerRequest Request = this->Parser->releaseRequest();
+    this->Parser.reset();
+    uint64_t Hash = 0;
+    std::optional<PathTarget> Found;
+    if (Request.Method == "CONNECT" &&
+        absl::SimpleHexAtoi(Request.Target, &Hash))
+      Found = this->Hooks.Find(Hash);
+    if (!Found || this->IsRefused) {
+      this->answer(TunnelAnswer::Unavailable);
+      return;
+    }
+    this->Target = *Found;
+    this->StartedAt = this->Timer.now();
+    this->startTimeout(ConnectTimeout, [](Tunnel &Self) {
+      Self.Hooks.OnUnreached(Self.Target, Self.StartedAt, true);
+      Self.answer(TunnelAnswer::TimedOut);
+    });
+    this->Replica->setListener(this->ReplicaSide);
+    this->Replica->connect(this->Hooks.AddressOf(Hash));
+  }
+
+  void onReplicaConnected(ConnectResult Result) {
+    if (this->IsAnswered)
+      return;
+    this->TimeoutTimer.cancel();
+    if (Result == ConnectResult::Connected) {
+      this->Hooks.OnReached(this->Target);
+      this->IsEstablished = true;
+      this->answer(TunnelAnswer::Connected);
+      if (!this->Buffer.empty())
+        this->forward(std::exchange(this->Buffer, ""), /*ToReplica=*/true);
+      return;
+    }
+    this->Hooks.OnUnreached(this->Target, this->StartedAt, false);
+    if (Result != ConnectResult::Refused) {
+      this->answer(TunnelAnswer::TimedOut);
+      return;
+    }
+    this->Hooks.ExplainRefusal(
+        this->Target, [Weak = this->weak_from_this()](TunnelAnswer Answer) {
+          if (auto Self = Weak.lock())
+            Self->answer(Answer);
+        });
+  }
+
+  void forward(absl::string_view Bytes, bool ToReplica) {
+    this->LastByteAt = this->Timer.now();
+    this->IsAwaitingAnswer = ToReplica;
+    Channel &To = ToReplica ? *this->Replica : *this->Host;
+    Channel &From = ToReplica ? *this->Host : *this->Replica;
+    if (!To.isOpen())
+      return;
+    To.send(std::string(Bytes));
+    if (To.unsentBytes() > MaxUnsentBytes)
+      From.pauseReading();
+  }
+
+  void onDrained(bool IsHost) {
+    Channel &Paused = IsHost ? *this->Replica : *this->Host;
+    Paused.resumeReading();
+  }
+
+  void onClosed(bool IsHost, bool Orderly) {
+    if (IsHost || !this->IsEstablished) {
+      this->end();
+      return;
+    }
+    auto Self = this->shared_from_this();
+    this->IsAwaitingAnswer = false;
+    // The other host must not mistake a broken answer for a complete one.
+    if (Orderly)
+      this->Host->closeAfterSending();
+    else
+      this->Host->reset();
+    if (!this->Host->isOpen())
+      this->end();
+    else
+      this->startTimeout(RequestTimeout, [](Tunnel &Late) { Late.end(); });
+  }
+
+private:
+  void startTimeout(absl::Duration Timeout,
+                    std::function<void(Tunnel &)> OnTimeout) {
+    this->TimeoutTimer.set(Timeout, [Weak = this->weak_from_this(),
+                                     OnTimeout = std::move(OnTimeout)] {
+      if (auto Self = Weak.lock())
+        OnTimeout(*Self);
+    });
+  }
+
+  void answer(TunnelAnswer Answer) {
+    auto Self = this->shared_from_this();
+    if (this->IsAnswered || !this->Host->isOpen())
+      return;
+    this->IsAnswered = true;
+    std::string Message =
+        absl::StrCat("HTTP/1.1 ", statusOf(Answer), " Tunnel\r\n\r\n");
+    this->Host->send(std::move(Message));
+    if (Answer == TunnelAnswer::Connected)
+      return;
+    this->Replica->close();
+    this->Host->closeAfterSending();
+    if (!this->Host->isOpen())
+      this->end();
+    else
+      this->startTimeout(RequestTimeout, [](Tunnel &Late) { Late.end(); });
+  }
+
+  TimerService &Timer;
+  const TunnelHooks &Hooks;
+  std::shared_ptr<Channel> Host;
+  std::shared_ptr<Channel> Replica;
+  std::shared_ptr<TunnelSide> HostSide;
+  std::shared_ptr<TunnelSide> ReplicaSide;
+  CancellableTimer TimeoutTimer;
+  RemoveCallback Remove;
+  std::unique_ptr<RequestParser> Parser;
+  std::string Buffer;
+  PathTarget Target;
+  Instant StartedAt;
+  Instant LastByteAt;
+  bool IsRefused = false;
+  bool IsAnswered = false;
+  bool IsEstablished = false;
+  /// The last bytes went to the replica.
+  bool IsAwaitingAnswer = false;
+};
+
+void TunnelSide::onConnected(ConnectResult Result) {
+  auto Guard = this->Owner.shared_from_this();
+  this->Owner.onReplicaConnected(Result);
+}
+
+void TunnelSide::onBytes(absl::string_view Bytes) {
+  auto Guard = this->Owner.shared_from_this();
+  if (this->IsHost)
+    this->Owner.onHostBytes(Bytes);
+  else
+    this->Owner.forward(Bytes, /*ToReplica=*/false);
+}
+
+void TunnelSide::onClosed(bool Orderly) {
+  auto Guard = this->Owner.shared_from_this();
+  this->Owner.onClosed(this->IsHost, Orderly);
+}
+
+void TunnelSide::onDrained() { this->Owner.onDrained(this->IsHost); }
+
+} // namespace
+
+std::string tunnelRequest(uint64_t Replica) {
+  return absl::StrCat("CONNECT ", absl::Hex(Replica),
+                      " HTTP/1.1\r\nHost: replica\r\n\r\n");
+}
+
+std::optional<TunnelAnswer> takeTunnelAnswer(std::string &Buffer) {
+  AnswerParser Parser(/*WithoutBody=*/true);
+  constexpr absl::string_view End = "\r\n\r\n";
+  size_t HeadEnd = Buffer.find(End.data());
+  if (HeadEnd == std::string::npos)
+    return std::nullopt;
+  std::string Head = Buffer.substr(0, HeadEnd + End.size());
+  Buffer.erase(0, Head.size());
+  if (Parser.feed(Head) != ParseFault::None)
+    return TunnelAnswer::Unavailable;
+  for (TunnelAnswer Answer :
+       {TunnelAnswer::Connected, TunnelAnswer::Refused,
+        TunnelAnswer::ServiceRefused, TunnelAnswer::TimedOut})
+    if (Parser.head().Status == statusOf(Answer))
+      return Answer;
+  return TunnelAnswer::Unavailable;
+}
+
+struct TunnelServer::State : std::enable_shared_from_this<State> {
+  State(boost::asio::io_context &Loop, TimerService &Timer, TunnelHooks Hooks)
+      : Loop(Loop), Timer(Timer), Hooks(std::move(Hooks)), Acceptor(Loop) {}
+
+  void accept() {
+    auto Self = this->shared_from_this();
+    this->Acceptor.async_accept(
+        [Self](const ErrorCode &Error, tcp::socket Socket) {
+          if (!Self->Acceptor.is_open())
+            return;
+          if (!Error) {
+            std::weak_ptr<State> Weak = Self;
+            auto Opened = std::make_shared<Tunnel>(
+                Self->Loop, Self->Timer, Self->Hooks, std::move(Socket),
+                [Weak](const std::shared_ptr<Tunnel> &Ended) {
+                  if (auto Server = Weak.lock())
+                    Server->Tunnels.erase(Ended);
+                });
+            bool HasRoom = Self->Tunnels.size() < MaxTunnels;
+            Self->Tunnels.insert(Opened);
+            Opened->start(HasRoom);
+          }
+          Self->accept();
+        });
+  }
+
+  boost::asio::io_context &Loop;
+  TimerService &Timer;
+  TunnelHooks Hooks;
+  tcp::acceptor Acceptor;
+  std::set<std::shared_ptr<Tunnel>> Tunnels;
+};
+
+TunnelServer::TunnelServer(boost::asio::io_context &Loop, TimerService &Timer,
+                           TunnelHooks Hooks)
+    : Shared(std::make_shared<State>(Loop, Timer, std::move(Hooks))) {}
+
+// NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
+TunnelServer::~TunnelServer() { this->close(); }
+
+absl::Status TunnelServer::listen(const Endpoint &ListenAddress) {
+  absl::Status Opened =
+      openAcceptor(this->Shared->Acceptor, ListenAddress, AcceptBacklog);
+  if (Opened.ok())
+    this->Shared->accept();
+  return Opened;
+}
+
+void TunnelServer::close() {
+  ErrorCode Ignored;
+  this->Shared->Acceptor.close(Ignored);
+  auto Open = this->Shared->Tunnels;
+  for (const auto &OpenTunnel : Open)
+    OpenTunnel->end();
+}
+
+size_t TunnelServer::tunnels() const { return this->Shared->Tunnels.size(); }
+
+size_t TunnelServer::busyTunnels() const {
+  size_t Count = 0;
+  for (const auto &OpenTunnel : this->Shared->Tunnels)
+    Count += OpenTunnel->isBusy() ? 1 : 0;
+  return Count;
+}
+
+} // namespace berylramp
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -7,6 +7,8 @@
 
 #include "upstream_connection.h"
 
+#include "tunnel.h"
+
 #include "absl/strings/numbers.h"
 #include <algorithm>
 
@@ -45,7 +47,12 @@
   this->Busy = true;
   this->Reusable = false;
   this->HeadDelivered = false;
-  this->Transport->send(std::move(Bytes));
+  if (this->isTunnel() && !this->Connected) {
+    this->Unsent = std::move(Bytes);
+    this->Transport->send(tunnelRequest(*this->TunnelTo));
+  } else {
+    this->Transport->send(std::move(Bytes));
+  }
   if (this->Connected || this->Connecting)
     return;
   this->Connecting = true;
@@ -61,12 +68,40 @@
 }
 
 void UpstreamConnection::onConnected(ConnectResult Result) {
+  if (Result != ConnectResult::Connected) {
+    this->Connecting = false;
+    bool Refused = Result == ConnectResult::Refused;
+    this->fail(this->isTunnel() ? ConnectionFault::PeerUnavailable
+               : Refused        ? ConnectionFault::Refused
+                                : ConnectionFault::NotConnected);
+    return;
+  }
+  if (!this->isTunnel())
+    this->onEstablished();
+}
+
+void UpstreamConnection::onEstablished() {
   this->Connecting = false;
-  this->Connected = Result == ConnectResult::Connected;
-  if (!this->Connected)
-    this->fail(Result == ConnectResult::Refused
-                   ? ConnectionFault::Refused
-                   : ConnectionFault::NotConnected);
+  this->Connected = true;
+  if (auto Receiver = this->Listener.lock())
+    Receiver->onConnected();
+}
+
+void UpstreamConnection::readTunnelAnswer() {
+  std::optional<TunnelAnswer> Answer = takeTunnelAnswer(this->Buffer);
+  if (!Answer)
+    return;
+  if (*Answer == TunnelAnswer::Connected) {
+    this->onEstablished();
+    this->Transport->send(std::move(this->Unsent));
+    this->Unsent.clear();
+    return;
+  }
+  this->Connecting = false;
+  bool Refused = *Answer == TunnelAnswer::Refused ||
+                 *Answer == TunnelAnswer::ServiceRefused;
+  this->fail(Refused ? ConnectionFault::Refused
+                     : ConnectionFault::PeerUnavailable);
 }
 
 void UpstreamConnection::onBytes(absl::string_view Bytes) {
@@ -77,6 +112,10 @@
     return;
   }
   this->Buffer.append(Bytes.data(), Bytes.size());
+  if (!this->Connected) {
+    this->readTunnelAnswer();
+    return;
+  }
   if (this->Parser->feed(this->Buffer) != ParseFault::None) {
     this->fail(ConnectionFault::Malformed);
     return;
@@ -123,13 +162,17 @@
   this->Reusable = false;
   if (!this->Busy)
     return;
+  if (!this->Connected) {
+    this->fail(ConnectionFault::PeerUnavailable);
+    return;
+  }
   if (Orderly && this->Parser->finishAtEof()) {
     this->deliver();
     if (this->Busy)
       this->finish();
     return;
   }
-  this->fail(ConnectionFault::Cut);
+  this->fail(Orderly ? ConnectionFault::Cut : ConnectionFault::Reset);
 }
 
 void UpstreamConnection::fail(ConnectionFault Fault) {
@@ -153,14 +196,14 @@
 }
 
 UpstreamConnectionPtr UpstreamPool::acquire(const UpstreamId &ReplicaId,
-                                            Instant Now) {
+                                            bool OverPeer, Instant Now) {
   auto Found = this->Idle.find(ReplicaId.text());
   if (Found == this->Idle.end())
     return nullptr;
   while (!Found->second.empty()) {
     UpstreamConnectionPtr Connection = Found->second.back();
     Found->second.pop_back();
-    if (this->isFresh(*Connection, Now))
+    if (this->isFresh(*Connection, Now) && Connection->isTunnel() == OverPeer)
       return Connection;
     Connection->cancel();
   }
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -11,6 +11,7 @@
 
 #include "channel.h"
 #include "http_parse.h"
+#include <optional>
 #include <unordered_map>
 
 namespace berylramp {
@@ -20,16 +21,29 @@
   Refused,
   /// No connection for another reason; nothing was sent.
   NotConnected,
-  /// Closed or reset before the end of the answer.
+  /// The host over which the replica should be reached could not help; nothing
+  /// was sent.
+  PeerUnavailable,
+  /// Closed in order before the end of the answer.
   Cut,
+  /// Reset, or given up by the kernel.
+  Reset,
   /// The received bytes are not a valid HTTP answer.
   Malformed
 };
 
+/// Whether the request may have reached the replica.
+inline bool mayHaveArrived(ConnectionFault Fault) {
+  return Fault == ConnectionFault::Cut || Fault == ConnectionFault::Reset ||
+         Fault == ConnectionFault::Malformed;
+}
+
 /// Receives the answer to one request.
 class AnswerListener {
 public:
   virtual ~AnswerListener() = default;
+  /// A connection to the replica was opened.
+  virtual void onConnected() {}
   virtual void onHead(const HttpHead &Head) = 0;
   virtual void onBody(std::string Chunk) = 0;
   virtual void onEnd() = 0;
@@ -42,6 +56,12 @@
 public:
   UpstreamConnection(boost::asio::io_context &Loop, Endpoint Remote)
       : Transport(std::make_shared<Channel>(Loop)), Remote(std::move(Remote)) {}
+  /// A connection to the replica with the hash \p Replica over the host whose
+  /// tunnel server listens at \p Peer.
+  UpstreamConnection(boost::asio::io_context &Loop, Endpoint Peer,
+                     uint64_t Replica)
+      : Transport(std::make_shared<Channel>(Loop)), Remote(std::move(Peer)),
+        TunnelTo(Replica) {}
 
   /// Sends one request; \p WithoutBody states that its answer has no body.
   void start(std::string Bytes, bool WithoutBody,
@@ -50,6 +70,9 @@
   void cancel();
   bool hasUnread() const { return this->Transport->hasUnread(); }
   bool isConnected() const { return this->Connected; }
+  bool isTunnel() const { return this->TunnelTo.has_value(); }
+  /// The replica, or for a tunnel the host over which it leads.
+  const Endpoint &remote() const { return this->Remote; }
   /// False once any byte was passed to the kernel.
   bool nothingSent() const { return !this->Transport->hasSent(); }
   /// Whether the connection may carry another request.
@@ -67,12 +90,17 @@
   void onClosed(bool Orderly) override;
 
 private:
+  void onEstablished();
+  void readTunnelAnswer();
   void deliver();
   void finish();
   void fail(ConnectionFault Fault);
 
   std::shared_ptr<Channel> Transport;
   Endpoint Remote;
+  std::optional<uint64_t> TunnelTo;
+  /// The request, until a tunnel is established.
+  std::string Unsent;
   std::unique_ptr<AnswerParser> Parser;
   std::weak_ptr<AnswerListener> Listener;
   std::string Buffer;
@@ -92,8 +120,10 @@
   explicit UpstreamPool(absl::Duration MaxIdleTime)
       : MaxIdleTime(MaxIdleTime) {}
 
-  /// Returns an idle connection to \p ReplicaId, or null.
-  UpstreamConnectionPtr acquire(const UpstreamId &ReplicaId, Instant Now);
+  /// Returns an idle connection to \p ReplicaId, or null. Closes those that
+  /// take another path than \p OverPeer states.
+  UpstreamConnectionPtr acquire(const UpstreamId &ReplicaId, bool OverPeer,
+                                Instant Now);
   void release(const UpstreamId &ReplicaId, UpstreamConnectionPtr Connection,
                Instant Now);
   void removeReplica(const UpstreamId &ReplicaId) {
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -81,7 +81,7 @@
 /// States that a replica names no limit any more.
 constexpr double NoLimit = -1;
 
-constexpr uint32_t StateFields = 9;
+constexpr uint32_t StateFields = 10;
 
 void packState(Packer &Writer, const PeerState &State) {
   Writer.pack_array(StateFields);
@@ -91,6 +91,7 @@
   Writer.pack(State.Place.text());
   Writer.pack(State.Ready);
   Writer.pack(State.Leaving);
+  Writer.pack(State.LostPaths);
   Writer.pack(static_cast<int>(State.Store));
   Writer.pack(State.Table.count());
   Writer.pack_array(static_cast<uint32_t>(State.Rollouts.size()));
@@ -164,9 +165,10 @@
   State.Place = PlaceId(Fields[3].as<std::string>());
   State.Ready = Fields[4].as<bool>();
   State.Leaving = Fields[5].as<bool>();
-  State.Store = unpackStoreRole(Fields[6]);
-  State.Table = TableVersion(Fields[7].as<int64_t>());
-  const msgpack::object &Reports = Fields[8];
+  State.LostPaths = Fields[6].as<bool>();
+  State.Store = unpackStoreRole(Fields[7]);
+  State.Table = TableVersion(Fields[8].as<int64_t>());
+  const msgpack::object &Reports = Fields[9];
   if (Reports.type != msgpack::type::ARRAY)
     throw msgpack::type_error();
   for (uint32_t Index = 0; Index < Reports.via.array.size; ++Index)
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -452,6 +452,11 @@
     Target.BusyUntil = Now;
 }
 
+void UpstreamRegistry::onRequestNotSent(const Choice &Chosen) const {
+  Replica &Target = *Chosen.Target;
+  Target.SentSinceReport = std::max(0, Target.SentSinceReport - 1);
+}
+
 void UpstreamRegistry::addRemoteWork(uint64_t IdHash,
                                      absl::Duration PrefillTime,
                                      Instant Now) const {
@@ -525,6 +530,18 @@
     this->eject(Target, Now);
 }
 
+void UpstreamRegistry::forgiveFailures(
+    const std::function<bool(const Replica &)> &Matches) const {
+  for (const auto &[Text, Record] : this->ById) {
+    if (!Matches(*Record))
+      continue;
+    Record->ConsecutiveFailures = 0;
+    Record->OutcomeCount = 0;
+    Record->FailureRate = 0;
+    Record->EjectedUntil = Instant();
+  }
+}
+
 void UpstreamRegistry::onLoadReport(Replica &Target,
                                     const ReportedLoad &Load) const {
   Target.Load = Load;
--- a/test/edge_fixture.cpp
+++ b/test/edge_fixture.cpp
@@ -119,9 +119,11 @@
 
 std::unique_ptr<EdgeDaemon> EdgeFixture::startDaemon(
     const HostConfig &HostSettings, const EdgeSettings &Settings,
-    const std::function<Endpoint(const UpstreamId &)> &PathTo) {
+    const std::function<Endpoint(const UpstreamId &)> &PathTo,
+    LoopTimer *OwnTimer) {
+  LoopTimer &HostTimer = OwnTimer != nullptr ? *OwnTimer : this->Timer;
   EdgePlatform Platform;
-  Platform.Store = platform::createStorePort(this->Loop, this->Timer,
+  Platform.Store = platform::createStorePort(this->Loop, HostTimer,
                                              HostSettings.Store, Settings);
   Platform.Codec = platform::codec();
   if (PathTo)
@@ -134,7 +136,7 @@
       return Entry;
     };
   auto Started = std::make_unique<EdgeDaemon>(
-      this->Loop, this->Timer, HostSettings, std::move(Platform), Settings);
+      this->Loop, HostTimer, HostSettings, std::move(Platform), Settings);
   REQUIRE(Started->start().ok());
   return Started;
 }
--- a/test/partition_fixture.cpp
+++ b/test/partition_fixture.cpp
@@ -26,6 +26,8 @@
             absl::StrCat("127.0.0.1:", this->Config.Peers.Port)));
     REQUIRE(Decoded.ok());
     Added.Config = *Decoded;
+    // Many streams break at once; the budget of retries is tested elsewhere.
+    Added.Config.Bounds.RetrySlack = 400;
     for (const auto &Group : {this->Engines, this->PlainReplicas})
       for (const auto &Target : Group) {
         auto Path = std::make_shared<standin::Proxy>(this->Loop, this->Timer,
@@ -44,17 +46,25 @@
 
 PartitionFixture::~PartitionFixture() {
   this->Requests.clear();
-  for (Host &Stopped : this->Hosts)
-    Stopped.Daemon.reset();
+  for (size_t Index = 0; Index < this->Hosts.size(); ++Index)
+    this->endHost(Index);
 }
 
 void PartitionFixture::startHost(size_t HostIndex) {
+  this->endHost(HostIndex);
   Host &Started = this->Hosts[HostIndex];
-  Started.Daemon.reset();
+  Started.Timer = std::make_unique<LoopTimer>(this->Loop);
   Started.Daemon = this->startDaemon(
-      Started.Config, EdgeSettings(), [&Started](const UpstreamId &Id) {
+      Started.Config, EdgeSettings(),
+      [&Started](const UpstreamId &Id) {
         return Started.Paths.at(Id.text())->address();
-      });
+      },
+      Started.Timer.get());
+}
+
+void PartitionFixture::endHost(size_t HostIndex) {
+  this->Hosts[HostIndex].Daemon.reset();
+  this->Hosts[HostIndex].Timer.reset();
 }
 
 void PartitionFixture::cut(size_t HostIndex, Partition Kind,
@@ -126,8 +136,11 @@
   int Count = 0;
   for (const Sent &Request : this->Requests)
     if (Request.HostIndex == HostIndex && !(Request.At < From) &&
-        Request.isServed() == Served)
+        Request.isServed() == Served) {
       Count += 1;
+      if (!Served)
+        UNSCOPED_INFO(Request.Caller->received());
+    }
   return Count;
 }
 
--- a/test/partition_fixture.h
+++ b/test/partition_fixture.h
@@ -30,6 +30,7 @@
   struct Host {
     HostConfig Config;
     std::map<std::string, std::shared_ptr<standin::Proxy>> Paths;
+    std::unique_ptr<LoopTimer> Timer;
     std::unique_ptr<EdgeDaemon> Daemon;
   };
   /// A request that was sent to a host.
@@ -53,7 +54,9 @@
   /// Cuts a host off from all replicas, or from those of one service.
   void cut(size_t HostIndex, Partition Kind, const std::string &Service = "");
   void heal(size_t HostIndex);
+  /// Starts a host, or ends its process and starts it anew.
   void startHost(size_t HostIndex);
+  void endHost(size_t HostIndex);
   /// Sends requests of all kinds, one to each host in \p Targets every 30 ms,
   /// for \p Time. Streams share the segments "aa" and "cc". Without targets, to
   /// all hosts.
