Let other hosts confirm the cause of a failed connection

Cause: a connection that this host saw refused counted as the end of the replica's process, so that the requests whose streams broke became suspects on all hosts; a request without an answer counted against the version.

Change: before a broken or silent connection is evidence, its cause is found: a new connection shows that the replica broke it; a refused one is the replica's end only if another host that reaches others of the service sees it refused as well, or if three hosts that reach other services do. If only others reach the replica, or nobody can tell, nothing is held against the input, and failures over a lost path count against no version. One check at a time for each replica.

--- a/src/exchange/path_controller.cpp
+++ b/src/exchange/path_controller.cpp
@@ -198,9 +198,13 @@
   ReplicaPtr Other = this->anyReplica([&](const Replica &Candidate) {
     return Candidate.Entry.Service != Target.Service;
   });
+  if (Similar == nullptr && Other == nullptr) {
+    Done(TunnelAnswer::Refused);
+    return;
+  }
   auto CheckOther = [this, Other, Done](TunnelAnswer IfReached) {
     if (Other == nullptr) {
-      Done(IfReached);
+      Done(TunnelAnswer::Unavailable);
       return;
     }
     this->checkDirectly(Other, [Done, IfReached](TunnelAnswer Answer) {
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -6,7 +6,6 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "connection_check.h"
 #include "relay.h"
 
 #include "absl/strings/numbers.h"
@@ -26,7 +25,6 @@
 /// a stream is evidence.
 constexpr absl::Duration EventsTime = absl::Seconds(1);
 constexpr int MinEvents = 3;
-constexpr absl::Duration CrashCheckTimeout = absl::Milliseconds(500);
 
 } // namespace
 
@@ -381,11 +379,12 @@
   if (!JustBegan)
     return;
   this->RepeatsForbidden = !this->Core.Hooks.MayRepeatInput(this->Input);
-  checkConnection(
-      this->Core.Loop, Source.TargetReplica->Entry.Address, CrashCheckTimeout,
-      [Owner = this->CoreOwner, &Core = this->Core,
-       Ended = Source.TargetReplica, Input = this->Input](TunnelAnswer Answer) {
-        if (Answer == TunnelAnswer::Refused)
+  this->Core.Paths->explainFailure(
+      Source.TargetReplica, this->now(),
+      [Owner = std::weak_ptr<void>(this->CoreOwner), &Core = this->Core,
+       Ended = Source.TargetReplica, Input = this->Input](FailureCause Cause) {
+        auto Guard = Owner.lock();
+        if (Guard && Cause == FailureCause::ReplicaEnded)
           Core.Hooks.OnInputCrash(*Ended, Input);
       });
 }
--- a/src/exchange/relay_path.cpp
+++ b/src/exchange/relay_path.cpp
@@ -108,7 +108,22 @@
 }
 
 void Relay::observeMissing(Attempt &Source) {
-  this->observe(Source, AnswerEvent::Failure);
+  if (Source.IsBad)
+    return;
+  this->Core.Paths->explainFailure(
+      Source.TargetReplica, Source.LastByteAt,
+      [Owner = std::weak_ptr<void>(this->CoreOwner), &Core = this->Core,
+       Target = Source.TargetReplica,
+       Observation = this->observationOf(Source, AnswerEvent::Failure)](
+          FailureCause Cause) {
+        auto Guard = Owner.lock();
+        bool PathInDoubt = Cause == FailureCause::OwnPath ||
+                           (Cause == FailureCause::Unknown && Guard &&
+                            Core.Paths->isLost(*Target));
+        if (Guard && !PathInDoubt)
+          Core.Hooks.ObserveAnswer(Observation);
+      });
+  Source.IsBad = true;
 }
 
 } // namespace berylramp
--- a/test/partition_fixture.h
+++ b/test/partition_fixture.h
@@ -58,7 +58,7 @@
   void startHost(size_t HostIndex);
   void endHost(size_t HostIndex);
   /// Sends requests of all kinds, one to each host in \p Targets every 30 ms,
-  /// for \p Time. Streams share the segments "aa" and "cc". Without targets, to
+  /// for \p Time. All streams share the segment "aa". Without targets, to
   /// all hosts.
   void sendFor(absl::Duration Time, std::vector<size_t> Targets = {});
   /// Sends one request to a host.
