Keep connections to peers that are silent for a second

With a user timeout of 3 s and a first probe after 2 s the kernel gave up a connection after one unanswered probe: elapsed time since the last answer decides then, not the number of probes. A sound replica that was silent for a second while a request waited lost its connections. The first probe now comes after 1 s and the user timeout is 3.5 s, so that the probe after a silence of up to 1.8 s is still sent; a peer that is gone is noticed within 4 s as before. The test computes the kernel's rule for all beginnings of a silence; it fails with the former values, and with 3 s.

Groups with several services (all replicas, a data centre) are lost only if none of them was reached for 500 ms.

--- a/src/exchange/channel.cpp
+++ b/src/exchange/channel.cpp
@@ -21,15 +21,6 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr size_t ReadBufferBytes = 16384;
-/// TCP keep-alive: idle time before the first probe, interval between probes,
-/// and unanswered probes that end a connection. A peer that lost power or
-/// network is detected within four seconds.
-constexpr int KeepAliveIdleSeconds = 2;
-constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int MaxLostProbes = 2;
-/// Maximum time that sent bytes may stay unacknowledged.
-constexpr unsigned int UserTimeoutMs = 3000;
-
 void setOption(int Descriptor, int Level, int Name, int Value) {
   // Best effort: without the option, the deadline still ends the request.
   (void)setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
@@ -74,11 +65,13 @@
   this->Socket.set_option(tcp::no_delay(true), Ignored);
   int Descriptor = this->Socket.native_handle();
   setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
-  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE,
+            static_cast<int>(absl::ToInt64Seconds(KeepAliveIdle)));
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL,
+            static_cast<int>(absl::ToInt64Seconds(KeepAliveInterval)));
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, MaxLostProbes);
   setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(UserTimeoutMs));
+            static_cast<int>(absl::ToInt64Milliseconds(UserTimeout)));
 }
 
 void Channel::startAccepted() {
--- a/src/exchange/channel.h
+++ b/src/exchange/channel.h
@@ -20,6 +20,16 @@
 
 namespace berylramp {
 
+/// Time without a received byte before a keep-alive probe, and the interval of
+/// further ones.
+inline constexpr absl::Duration KeepAliveIdle = absl::Seconds(1);
+inline constexpr absl::Duration KeepAliveInterval = absl::Seconds(1);
+/// Number of unanswered probes; the kernel disregards it beside UserTimeout.
+inline constexpr int MaxLostProbes = 2;
+/// Time without an acknowledgement, of data or of a probe, that ends a
+/// connection.
+inline constexpr absl::Duration UserTimeout = absl::Milliseconds(3500);
+
 /// Result of opening a connection.
 enum class ConnectResult {
   Connected,
--- a/src/paths/paths.cpp
+++ b/src/paths/paths.cpp
@@ -20,6 +20,10 @@
 /// Older failures are no evidence, except of paths that are lost already.
 constexpr absl::Duration EvidenceTime = absl::Seconds(3);
 
+/// Time since a replica of a group with several services was reached, before
+/// its path is lost: one service may be cut off alone.
+constexpr absl::Duration MixedQuietTime = absl::Milliseconds(500);
+
 constexpr const char *AllGroup = "all";
 
 std::string replicaGroup(const PathTarget &Target) {
@@ -69,7 +73,10 @@
                     : std::next(Entry);
     Instant &Latest = Failed.Unreached[Target.Replica];
     Latest = std::max(Latest, Since);
-    if (Failed.Unreached.size() >= MinUnreached)
+    bool IsMixed =
+        Name == AllGroup || Name == absl::StrCat("place ", Target.Place.text());
+    bool IsQuiet = !IsMixed || Since - Failed.ReachedAt >= MixedQuietTime;
+    if (Failed.Unreached.size() >= MinUnreached && IsQuiet)
       this->setLost(Name, Failed, true);
   }
 }
--- a/test/exchange_test.cpp
+++ b/test/exchange_test.cpp
@@ -1,5 +1,6 @@
 //===- exchange_test.cpp - Parsers, events, execution tracker, forwarding -===//
 
+#include "channel.h"
 #include "events.h"
 #include "execution_tracker.h"
 #include "forwarding.h"
@@ -211,3 +212,38 @@
   IncomingRequest.Headers = {{"Authorization", "Bearer k1"}};
   CHECK(apiKeyOf(IncomingRequest, platform::headerNames()).empty());
 }
+
+namespace {
+
+/// When the kernel gives up a connection whose peer acknowledged a byte at time
+/// zero and falls silent from \p Silent to \p Back; infinite if it does not.
+absl::Duration endOfConnection(absl::Duration Silent, absl::Duration Back) {
+  absl::Duration LastAnswer = absl::ZeroDuration();
+  absl::Duration Probe = KeepAliveIdle;
+  int Unanswered = 0;
+  while (Probe < absl::Seconds(30)) {
+    if (Unanswered > 0 && Probe - LastAnswer >= UserTimeout)
+      return Probe;
+    bool IsAnswered = Probe < Silent || Probe >= Back;
+    if (IsAnswered)
+      LastAnswer = Probe;
+    Unanswered = IsAnswered ? 0 : Unanswered + 1;
+    Probe += IsAnswered ? KeepAliveIdle : KeepAliveInterval;
+  }
+  return absl::InfiniteDuration();
+}
+
+} // namespace
+
+// A user timeout ends keep-alive probes whatever their count, so that replicas
+// that were silent for a second lost their connections.
+TEST_CASE("A connection survives a silent second and ends without its peer") {
+  for (int Step = 0; Step < 100; ++Step) {
+    absl::Duration Silent = absl::Milliseconds(37) * Step;
+    CAPTURE(Step);
+    CHECK(endOfConnection(Silent, Silent + absl::Milliseconds(1800)) ==
+          absl::InfiniteDuration());
+    CHECK(endOfConnection(Silent, absl::InfiniteDuration()) - Silent <=
+          absl::Seconds(4));
+  }
+}
--- a/test/paths_test.cpp
+++ b/test/paths_test.cpp
@@ -68,6 +68,18 @@
   CHECK_FALSE(Paths.isLost(target(3, "plain")));
 }
 
+TEST_CASE("A service that is cut off alone leaves mixed groups alone") {
+  PathMonitor Paths;
+  for (int Step = 0; Step < 20; ++Step) {
+    Paths.onReached(target(3, "plain"), at(1 + Step * 0.3));
+    Paths.onUnreached(target(1, "engine"), at(1.1 + Step * 0.3));
+    Paths.onUnreached(target(2, "engine"), at(1.2 + Step * 0.3));
+  }
+  std::vector<PathChange> Changes = Paths.takeChanges();
+  REQUIRE(Changes.size() == 1);
+  CHECK(Changes[0].Group == "service engine");
+}
+
 TEST_CASE("A data centre that is cut off alone leaves the paths to others") {
   PathMonitor Paths;
   Paths.onUnreached(target(1, "engine", "a"), at(1));
