Leave brittle replicas room, shared by all hosts

A replica that is brittle ends if all hosts together have it reject more than the stated number of requests in a second for want of room. No host read the header; each sent what it liked, and 78 hosts exceed any small number with one rejection each.

Change: the number is a fact on the replica's process that hosts tell each other, as a named limit is. Each host has a part of the replica's slots, by rendezvous hashing, two thirds for the hosts of its data centre; a tenth of the slots stays free for requests that end late. A host without a part, or whose part is in use, takes another replica or refuses at once with a Retry-After. A rejection for want of room is told to all hosts, which leave that replica alone for a second, even if no other is available. Limits in requests per second and room are kept apart and may be combined.

The parts of 1 to 300 hosts add up to at most the slots, and to 0.8 of them or more.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -191,6 +191,8 @@
   std::string ReplicaLeaving;
   /// Requests per second that the replica takes from all hosts together.
   std::string ReplicaLimit;
+  /// Rejections for want of room per second above which the replica ends.
+  std::string ReplicaBrittle;
   /// States that the replica did not execute the request.
   std::string NotExecuted;
   std::string Model;
@@ -286,6 +288,8 @@
   std::function<void(const Replica &)> OnReplicaLeaving;
   /// Called when an answer named a limit that other hosts do not know yet.
   std::function<void(const NamedLimit &)> OnReplicaLimit;
+  /// Called when a brittle replica rejected a request for want of room.
+  std::function<void(const Replica &)> OnBrittleFull = [](const Replica &) {};
   /// Chooses the tunnel server of another host, not one of \p Tried, to reach
   /// the replica over; nothing when there is none.
   std::function<std::optional<Endpoint>(const Replica &,
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -54,6 +54,17 @@
   int64_t StartedAtMs = 0;
 };
 
+/// Report that a brittle replica rejected a request for want of room.
+struct FullReport {
+  /// Hash of the replica's id.
+  uint64_t Replica = 0;
+  /// Start of the replica's process in Unix milliseconds.
+  int64_t StartedAtMs = 0;
+};
+
+std::string encodeFullReport(const FullReport &Report);
+/// False when \p Datagram is no report of a full replica.
+bool decodeFullReport(const std::string &Datagram, FullReport &Report);
 std::string encodeLeavingReport(const LeavingReport &Report);
 /// False when \p Datagram is no report of a leaving replica.
 bool decodeLeavingReport(const std::string &Datagram, LeavingReport &Report);
--- a/include/berylramp/limits.h
+++ b/include/berylramp/limits.h
@@ -40,6 +40,17 @@
   int64_t Sequence = 0;
   /// Requests per second; nothing when the replica names no limit any more.
   std::optional<double> PerSecond;
+  /// Rejections for want of room per second above which the replica ends;
+  /// nothing while it is not brittle.
+  std::optional<double> Rejections;
+
+  bool isNamed() const { return this->PerSecond || this->Rejections; }
+};
+
+/// What the store states about a replica whose limit is divided.
+struct LimitedReplica {
+  PlaceId Place;
+  int Slots = 1;
 };
 
 /// A host among which limits are divided.
@@ -91,6 +102,13 @@
                       const std::vector<LimitMember> &Members,
                       const LimitMember &Self);
 
+/// The number of requests that \p Self may have in progress at a brittle
+/// replica with \p Slots slots. The parts of all members together leave room
+/// for requests that end late. Hosts in the replica's data centre have most of
+/// it.
+int roomPart(int Slots, const ReplicaProcess &Replica,
+             const std::vector<LimitMember> &Members, const LimitMember &Self);
+
 /// The limits of all replicas, and this host's part of each.
 class ReplicaLimits {
 public:
@@ -98,14 +116,16 @@
   /// Returns the news for the other hosts, if any.
   std::optional<NamedLimit> observe(const ReplicaProcess &Replica,
                                     std::optional<double> PerSecond,
+                                    std::optional<double> Rejections,
                                     Instant SentAt, Instant Now);
   /// Applies another host's report; false when it is no news.
   bool merge(const NamedLimit &Report, Instant Now);
-  /// Computes this host's parts anew. \p PlaceOf returns the data centre of a
-  /// replica, or nothing if the replica is unknown.
-  void divide(const LimitMembers &Members,
-              const std::function<std::optional<PlaceId>(uint64_t)> &PlaceOf,
-              Instant Now);
+  /// Computes this host's parts anew. \p Find returns nothing if the replica is
+  /// unknown.
+  void
+  divide(const LimitMembers &Members,
+         const std::function<std::optional<LimitedReplica>(uint64_t)> &Find,
+         Instant Now);
   /// Drops the limits of replicas that have been unknown for a while, and
   /// limits that ended long ago.
   void sweep(Instant Now);
@@ -116,6 +136,9 @@
   /// Whether this host may send the replica a request now. A request that is
   /// not \p Urgent leaves a reserve for others.
   bool allows(const ReplicaProcess &Replica, bool Urgent, Instant Now) const;
+  /// The requests that this host may have in progress at the replica; nothing
+  /// if the replica is not brittle.
+  std::optional<int> roomOf(const ReplicaProcess &Replica) const;
   /// When this host, or if it has no part another one, may send the replica a
   /// request.
   Instant allowedAt(const ReplicaProcess &Replica, bool Urgent,
@@ -131,6 +154,7 @@
   struct Entry {
     NamedLimit Named;
     LimitPart Part;
+    int Room = 0;
     double Balance = 0;
     Instant BalanceAt;
     Instant ChangedAt;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -333,6 +333,8 @@
 
   /// The limits that replicas name, and this host's parts of them.
   ReplicaLimits &limits() { return this->Limits; }
+  /// Another host was rejected by a brittle replica for want of room.
+  void markFull(uint64_t IdHash, int64_t StartedAtMs, Instant Now);
   /// Computes this host's parts of all limits anew.
   void divideLimits(const LimitMembers &Members, Instant Now);
 
@@ -350,6 +352,9 @@
   /// The replicas that \p Query allows, without ejected and full ones unless
   /// there are no others.
   std::vector<ReplicaPtr> candidates(const ChoiceQuery &Query) const;
+  /// False if the replica is brittle and this host's part of its room is in
+  /// use.
+  bool hasRoom(const Replica &Candidate, Instant Now) const;
   /// Whether \p Query allows the replica, available or not.
   bool isEligible(const Replica &Candidate, const ChoiceQuery &Query) const;
   ReplicaNotice &noticeOf(const Replica &Target, Instant Now);
--- a/src/edge/edge_limits.cpp
+++ b/src/edge/edge_limits.cpp
@@ -45,6 +45,8 @@
   Line["source"] = "peer";
   if (Report.PerSecond)
     Line["per_second"] = *Report.PerSecond;
+  if (Report.Rejections)
+    Line["rejections"] = *Report.Rejections;
   Line["sequence"] = Json::Int64(Report.Sequence);
   logEvent(LogLevel::Info, "replica_limit", Line);
   this->divideLimits();
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -96,6 +96,9 @@
   Hooks.OnReplicaLimit = [this](const NamedLimit &News) {
     this->shareLimit(News);
   };
+  Hooks.OnBrittleFull = [this](const Replica &Full) {
+    this->Link->sendFullReport({Full.IdHash, Full.Entry.StartedAtMs});
+  };
   Hooks.OnMisdirected = [this](const UpstreamId &Id) {
     Json::Value Line(Json::objectValue);
     Line["replica"] = Id.text();
@@ -221,6 +224,10 @@
     this->Registry.addRemoteWork(
         Report.Replica, absl::Milliseconds(Report.WorkMs), this->Timer.now());
   };
+  this->Link->OnFullReport = [this](const FullReport &Report) {
+    this->Registry.markFull(Report.Replica, Report.StartedAtMs,
+                            this->Timer.now());
+  };
   this->Link->OnLeavingReport = [this](const LeavingReport &Report) {
     std::optional<UpstreamId> Id = this->Registry.markLeaving(
         Report.Replica, Report.StartedAtMs, this->Timer.now());
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -104,6 +104,11 @@
                   [](const PlaceId &) { return true; });
 }
 
+void PeerLink::sendFullReport(const FullReport &Report) {
+  this->broadcast(encodeFullReport(Report),
+                  [](const PlaceId &) { return true; });
+}
+
 void PeerLink::sendLimits(const std::vector<NamedLimit> &Reports) {
   this->broadcast(encodeLimits(Reports), [](const PlaceId &) { return true; });
 }
@@ -127,6 +132,7 @@
           std::string Datagram(Bytes.data(), Count);
           WorkReport Work;
           LeavingReport Leaving;
+          FullReport Full;
           InputCrash Crash;
           std::vector<NamedLimit> Limits;
           uint64_t Input = 0;
@@ -134,6 +140,8 @@
             Self->OnWorkReport(Work);
           else if (decodeLeavingReport(Datagram, Leaving))
             Self->OnLeavingReport(Leaving);
+          else if (decodeFullReport(Datagram, Full))
+            Self->OnFullReport(Full);
           else if (decodeInputCrash(Datagram, Crash))
             Self->OnInputCrash(Crash);
           else if (decodeLimits(Datagram, Limits))
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -34,6 +34,9 @@
   void sendInputCrash(const InputCrash &Crash);
   /// Tells all hosts of an input in quarantine.
   void sendQuarantine(uint64_t Input);
+  /// Reports a brittle replica without room to all hosts.
+  void sendFullReport(const FullReport &Report);
+  std::function<void(const FullReport &)> OnFullReport;
   /// Reports limits to all hosts.
   void sendLimits(const std::vector<NamedLimit> &Reports);
   /// Returns the limits to report with this host's state.
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -119,26 +119,37 @@
 
 void Relay::noteReplicaLimit(const Attempt &Source, const HttpHead &Head) {
   ReplicaLimits &Limits = this->Core.Registry.limits();
-  const std::string *Text =
-      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLimit);
-  if (Text == nullptr && Limits.empty())
+  const HeaderNames &Names = this->Core.Settings.Names;
+  const std::string *LimitText = findHeader(Head.Headers, Names.ReplicaLimit);
+  const std::string *BrittleText =
+      findHeader(Head.Headers, Names.ReplicaBrittle);
+  if (LimitText == nullptr && BrittleText == nullptr && Limits.empty())
     return;
   const Replica &Target = *Source.TargetReplica;
-  std::optional<double> Limit = Text ? parseLimit(*Text) : std::nullopt;
-  bool Unusable = Text != nullptr && !Limit;
+  std::optional<double> Limit =
+      LimitText ? parseLimit(*LimitText) : std::nullopt;
+  std::optional<double> Rejections =
+      BrittleText ? parseLimit(*BrittleText) : std::nullopt;
+  const std::string *Unusable = LimitText != nullptr && !Limit ? LimitText
+                                : BrittleText != nullptr && !Rejections
+                                    ? BrittleText
+                                    : nullptr;
   std::optional<NamedLimit> News;
-  if (!Unusable)
-    News = Limits.observe(processOf(Target), Limit, Source.SentAt, this->now());
-  if (!Unusable && !News)
+  if (Unusable == nullptr)
+    News = Limits.observe(processOf(Target), Limit, Rejections, Source.SentAt,
+                          this->now());
+  if (Unusable == nullptr && !News)
     return;
   Json::Value Line(Json::objectValue);
   Line["request"] = this->RequestId;
   Line["replica"] = Target.Entry.Id.text();
   Line["source"] = "answer";
-  if (Unusable)
-    Line["unusable_value"] = *Text;
+  if (Unusable != nullptr)
+    Line["unusable_value"] = *Unusable;
   if (Limit)
     Line["per_second"] = *Limit;
+  if (Rejections)
+    Line["rejections"] = *Rejections;
   if (News)
     Line["sequence"] = Json::Int64(News->Sequence);
   logEvent(Unusable ? LogLevel::Warn : LogLevel::Info, "replica_limit", Line);
@@ -319,6 +330,10 @@
     this->Core.Pool.removeReplica(Source.TargetReplica->Entry.Id);
     this->Core.Hooks.OnMisdirected(Source.TargetReplica->Entry.Id);
   }
+  const Replica &Target = *Source.TargetReplica;
+  if (Result == Outcome::Full &&
+      this->Core.Registry.limits().roomOf(processOf(Target)))
+    this->Core.Hooks.OnBrittleFull(Target);
   this->Core.Counters.countRetry(RetryReason::UpstreamRefused);
   this->endAttempt(Result);
   this->Execution.markRejected();
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -29,6 +29,8 @@
 constexpr int QuarantineLayout = 104;
 /// Identifies a datagram with limits that replicas named.
 constexpr int LimitsLayout = 105;
+/// Layout of reports of brittle replicas without room.
+constexpr int FullReportLayout = 107;
 /// More segments of a prompt are not reported.
 constexpr size_t MaxReportedSegments = 32;
 /// Fits one Ethernet frame together with the protocol headers.
@@ -77,7 +79,7 @@
 }
 
 constexpr uint32_t CrashFields = 4;
-constexpr uint32_t LimitFields = 4;
+constexpr uint32_t LimitFields = 5;
 /// States that a replica names no limit any more.
 constexpr double NoLimit = -1;
 
@@ -229,6 +231,16 @@
                              Report.StartedAtMs);
 }
 
+std::string encodeFullReport(const FullReport &Report) {
+  return encodeReplicaReport(FullReportLayout, Report.Replica,
+                             Report.StartedAtMs);
+}
+
+bool decodeFullReport(const std::string &Datagram, FullReport &Report) {
+  return decodeReplicaReport(Datagram, FullReportLayout, Report.Replica,
+                             Report.StartedAtMs);
+}
+
 std::string encodeInputCrash(const InputCrash &Crash) {
   msgpack::sbuffer Bytes;
   Packer Writer(Bytes);
@@ -286,6 +298,7 @@
     Writer.pack(Report.StartedAtMs);
     Writer.pack(Report.Sequence);
     Writer.pack(Report.PerSecond.value_or(NoLimit));
+    Writer.pack(Report.Rejections.value_or(NoLimit));
   }
   return {Bytes.data(), Bytes.size()};
 }
@@ -307,6 +320,9 @@
       auto PerSecond = Fields[3].as<double>();
       if (PerSecond >= 0)
         Report.PerSecond = PerSecond;
+      auto Rejections = Fields[4].as<double>();
+      if (Rejections >= 0)
+        Report.Rejections = Rejections;
       Reports.push_back(Report);
     }
     return true;
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -54,13 +54,22 @@
   return {Part.PerSecond * Ratio, Part.Burst * Ratio};
 }
 
+/// Share of a brittle replica's slots that hosts use, and of these the part of
+/// the hosts in its data centre.
+constexpr double RoomShare = 0.9;
+constexpr double NearRoomShare = 2.0 / 3;
+
 bool holds(const NamedLimit &A, const NamedLimit &B) {
   if (A.StartedAtMs != B.StartedAtMs)
     return A.StartedAtMs > B.StartedAtMs;
   if (A.Sequence != B.Sequence)
     return A.Sequence > B.Sequence;
   double Unlimited = HUGE_VAL;
-  return A.PerSecond.value_or(Unlimited) < B.PerSecond.value_or(Unlimited);
+  auto KeyOf = [&](const NamedLimit &Report) {
+    return std::make_pair(Report.PerSecond.value_or(Unlimited),
+                          Report.Rejections.value_or(Unlimited));
+  };
+  return KeyOf(A) < KeyOf(B);
 }
 
 } // namespace
@@ -119,10 +128,37 @@
   return {Bounded / Parts, (BurstBase + BurstSeconds * Bounded) / Parts};
 }
 
+int roomPart(int Slots, const ReplicaProcess &Replica,
+             const std::vector<LimitMember> &Members, const LimitMember &Self) {
+  auto IsNear = [&](const LimitMember &Member) {
+    return Member.Place == Replica.Place;
+  };
+  bool OwnIsNear = IsNear(Self);
+  uint64_t OwnHash = rankHash(Replica.IdHash, Self.Ip);
+  int Near = 0;
+  int Alike = 0;
+  int Rank = 0;
+  for (const LimitMember &Member : Members) {
+    Near += IsNear(Member) ? 1 : 0;
+    if (IsNear(Member) != OwnIsNear)
+      continue;
+    Alike += 1;
+    Rank += rankHash(Replica.IdHash, Member.Ip) < OwnHash ? 1 : 0;
+  }
+  int Total = std::max(1, static_cast<int>(Slots * RoomShare));
+  int Far = static_cast<int>(Members.size()) - Near;
+  int NearTotal = Near == 0 ? 0
+                  : Far == 0
+                      ? Total
+                      : static_cast<int>(std::ceil(Total * NearRoomShare));
+  int Shared = OwnIsNear ? NearTotal : Total - NearTotal;
+  return Shared / Alike + (Rank < Shared % Alike ? 1 : 0);
+}
+
 const ReplicaLimits::Entry *
 ReplicaLimits::find(const ReplicaProcess &Replica) const {
   auto Found = this->ByReplica.find(Replica.IdHash);
-  if (Found == this->ByReplica.end() || !Found->second.Named.PerSecond ||
+  if (Found == this->ByReplica.end() || !Found->second.Named.isNamed() ||
       Found->second.Named.StartedAtMs != Replica.StartedAtMs)
     return nullptr;
   return &Found->second;
@@ -151,40 +187,47 @@
         scaledPart(Limited.Part, *Former.PerSecond, *Report.PerSecond);
   else
     Limited.Part = {};
+  if (!Former.Rejections || Former.StartedAtMs != Report.StartedAtMs)
+    Limited.Room = 0;
   Limited.Balance = std::min(Balance, Limited.Part.Burst);
   Limited.BalanceAt = Now;
 }
 
-std::optional<NamedLimit>
-ReplicaLimits::observe(const ReplicaProcess &Replica,
-                       std::optional<double> PerSecond, Instant SentAt,
-                       Instant Now) {
+std::optional<NamedLimit> ReplicaLimits::observe(
+    const ReplicaProcess &Replica, std::optional<double> PerSecond,
+    std::optional<double> Rejections, Instant SentAt, Instant Now) {
   auto Found = this->ByReplica.find(Replica.IdHash);
   if (Found == this->ByReplica.end() ||
       Found->second.Named.StartedAtMs < Replica.StartedAtMs) {
-    if (!PerSecond)
+    if (!PerSecond && !Rejections)
       return std::nullopt;
     Entry &Limited = this->ByReplica[Replica.IdHash];
-    NamedLimit News{Replica.IdHash, Replica.StartedAtMs, 1, PerSecond};
+    NamedLimit News{Replica.IdHash, Replica.StartedAtMs, 1, PerSecond,
+                    Rejections};
     this->apply(Limited, News, Now);
     return News;
   }
   Entry &Limited = Found->second;
   if (Limited.Named.StartedAtMs != Replica.StartedAtMs)
     return std::nullopt;
-  if (Limited.Named.PerSecond == PerSecond) {
+  if (Limited.Named.PerSecond == PerSecond &&
+      Limited.Named.Rejections == Rejections) {
     Limited.ObservedAt = Now;
     return std::nullopt;
   }
   // Answers overtake each other: one to a request from before the last change
   // may be older than that change.
-  bool IsLower = PerSecond && (!Limited.Named.PerSecond ||
-                               *PerSecond < *Limited.Named.PerSecond);
+  auto Lowers = [](std::optional<double> New, std::optional<double> Old) {
+    return New && (!Old || *New < *Old);
+  };
+  bool IsLower = Lowers(PerSecond, Limited.Named.PerSecond) ||
+                 Lowers(Rejections, Limited.Named.Rejections);
   if (!IsLower && SentAt < Limited.ChangedAt)
     return std::nullopt;
   NamedLimit News = Limited.Named;
   News.Sequence += 1;
   News.PerSecond = PerSecond;
+  News.Rejections = Rejections;
   this->apply(Limited, News, Now);
   return News;
 }
@@ -199,23 +242,26 @@
 
 void ReplicaLimits::divide(
     const LimitMembers &Members,
-    const std::function<std::optional<PlaceId>(uint64_t)> &PlaceOf,
+    const std::function<std::optional<LimitedReplica>(uint64_t)> &Find,
     Instant Now) {
   std::vector<LimitMember> All = Members.all();
   for (auto &[Hash, Limited] : this->ByReplica) {
-    std::optional<PlaceId> Place = PlaceOf(Hash);
-    if (!Place)
+    std::optional<LimitedReplica> Known = Find(Hash);
+    if (!Known)
       continue;
     Limited.KnownAt = Now;
+    ReplicaProcess Process{Hash, Limited.Named.StartedAtMs, Known->Place};
+    bool SharesRoom = Limited.Named.Rejections && Members.mayShare();
+    Limited.Room =
+        SharesRoom ? roomPart(Known->Slots, Process, All, Members.self()) : 0;
     if (!Limited.Named.PerSecond)
       continue;
     Limited.Balance = balanceAt(Limited, Now);
     Limited.BalanceAt = Now;
     Limited.Part = {};
     if (Members.mayShare())
-      Limited.Part = partOfLimit(*Limited.Named.PerSecond,
-                                 {Hash, Limited.Named.StartedAtMs, *Place}, All,
-                                 Members.self());
+      Limited.Part =
+          partOfLimit(*Limited.Named.PerSecond, Process, All, Members.self());
     Limited.Balance = std::min(Limited.Balance, Limited.Part.Burst);
   }
 }
@@ -223,7 +269,7 @@
 void ReplicaLimits::sweep(Instant Now) {
   absl::erase_if(this->ByReplica, [&](const auto &Record) {
     const Entry &Limited = Record.second;
-    bool Ended = !Limited.Named.PerSecond;
+    bool Ended = !Limited.Named.isNamed();
     return Now - (Ended ? Limited.ChangedAt : Limited.KnownAt) > EntryLifetime;
   });
 }
@@ -237,14 +283,21 @@
 bool ReplicaLimits::allows(const ReplicaProcess &Replica, bool Urgent,
                            Instant Now) const {
   const Entry *Limited = this->find(Replica);
-  return Limited == nullptr ||
+  return Limited == nullptr || !Limited->Named.PerSecond ||
          balanceAt(*Limited, Now) >= 1 + (Urgent ? 0 : UrgentReserve);
 }
 
+std::optional<int> ReplicaLimits::roomOf(const ReplicaProcess &Replica) const {
+  const Entry *Limited = this->find(Replica);
+  if (Limited == nullptr || !Limited->Named.Rejections)
+    return std::nullopt;
+  return Limited->Room;
+}
+
 Instant ReplicaLimits::allowedAt(const ReplicaProcess &Replica, bool Urgent,
                                  Instant Now) const {
   const Entry *Limited = this->find(Replica);
-  if (Limited == nullptr)
+  if (Limited == nullptr || !Limited->Named.PerSecond)
     return Now;
   double Rate = Limited->Part.PerSecond;
   double Missing = 1 + (Urgent ? 0 : UrgentReserve) - balanceAt(*Limited, Now);
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -24,6 +24,10 @@
 /// A replica that refused a request because it is full is not chosen for this
 /// long, unless no other replica is available.
 constexpr absl::Duration FullBackoff = absl::Milliseconds(150);
+/// The same for a brittle replica, on all hosts, whatever else is available.
+constexpr absl::Duration BrittleBackoff = absl::Seconds(1);
+/// Time in which a request in progress at a brittle replica makes room.
+constexpr absl::Duration RoomDelay = absl::Milliseconds(300);
 /// Consecutive connection failures after which a replica is ejected.
 constexpr int EjectionFailures = 3;
 /// Length of the first ejection; each further one doubles it up to the maximum.
@@ -248,6 +252,8 @@
         Candidate->PausedUntil,
         this->Limits.allowedAt(processOf(*Candidate), Query.Urgent, Query.Now),
         std::less<>());
+    if (!this->hasRoom(*Candidate, Query.Now))
+      At = std::max(At, Query.Now + RoomDelay, std::less<>());
     if (Query.Now < At)
       Earliest = std::min(Earliest, At);
   }
@@ -255,14 +261,30 @@
 }
 
 void UpstreamRegistry::divideLimits(const LimitMembers &Members, Instant Now) {
-  auto PlaceOf = [this](uint64_t IdHash) -> std::optional<PlaceId> {
+  auto Find = [this](uint64_t IdHash) -> std::optional<LimitedReplica> {
     auto Found = this->ByHash.find(IdHash);
-    return Found == this->ByHash.end()
-               ? std::nullopt
-               : std::make_optional(Found->second->Entry.Place);
+    if (Found == this->ByHash.end())
+      return std::nullopt;
+    const ReplicaEntry &Entry = Found->second->Entry;
+    return LimitedReplica{Entry.Place, Entry.Slots};
   };
   if (!this->Limits.empty())
-    this->Limits.divide(Members, PlaceOf, Now);
+    this->Limits.divide(Members, Find, Now);
+}
+
+bool UpstreamRegistry::hasRoom(const Replica &Candidate, Instant Now) const {
+  std::optional<int> Room = this->Limits.roomOf(processOf(Candidate));
+  return !Room || (Candidate.InFlight < *Room && !(Now < Candidate.FullUntil));
+}
+
+void UpstreamRegistry::markFull(uint64_t IdHash, int64_t StartedAtMs,
+                                Instant Now) {
+  auto Found = this->ByHash.find(IdHash);
+  if (Found == this->ByHash.end() ||
+      Found->second->Entry.StartedAtMs != StartedAtMs)
+    return;
+  Instant &Until = Found->second->FullUntil;
+  Until = std::max(Until, Now + BrittleBackoff);
 }
 
 std::vector<ReplicaPtr>
@@ -276,8 +298,9 @@
   for (const ReplicaPtr &Candidate : Group->second) {
     if (!this->isEligible(*Candidate, Query) ||
         Query.Now < Candidate->PausedUntil ||
-        (HasLimits &&
-         !this->Limits.allows(processOf(*Candidate), Query.Urgent, Query.Now)))
+        (HasLimits && (!this->Limits.allows(processOf(*Candidate), Query.Urgent,
+                                            Query.Now) ||
+                       !this->hasRoom(*Candidate, Query.Now))))
       continue;
     bool Excluded =
         Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
@@ -496,7 +519,8 @@
   if (Result == Outcome::Neutral || Result == Outcome::Misdirected)
     return;
   if (Result == Outcome::Full) {
-    Target.FullUntil = Now + FullBackoff;
+    bool IsBrittle = this->Limits.roomOf(processOf(Target)).has_value();
+    Target.FullUntil = Now + (IsBrittle ? BrittleBackoff : FullBackoff);
     return;
   }
   double Failed = Result == Outcome::Good ? 0 : 1;
--- a/test/limits_fleet_test.cpp
+++ b/test/limits_fleet_test.cpp
@@ -158,8 +158,8 @@
       return;
     Own.Limits.onSent(Limited, at(Now));
     this->Arrivals.push_back(Now);
-    std::optional<NamedLimit> News =
-        Own.Limits.observe(Limited, this->Options.PerSecond, at(Now), at(Now));
+    std::optional<NamedLimit> News = Own.Limits.observe(
+        Limited, this->Options.PerSecond, std::nullopt, at(Now), at(Now));
     for (size_t To = 0; News && To < this->Hosts.size(); ++To)
       this->send(Index, To, {*News}, Now);
   }
@@ -182,7 +182,10 @@
     if (Now - Own.StartedAt >= 2 || Own.StartedAt == 0)
       Own.Limits.divide(
           Own.Members,
-          [](uint64_t) { return std::make_optional(Limited.Place); }, at(Now));
+          [](uint64_t) {
+            return std::make_optional(LimitedReplica{Limited.Place, 1});
+          },
+          at(Now));
   }
 
   FleetSettings Options;
@@ -256,20 +259,21 @@
 
 TEST_CASE("An answer from before a change of a limit does not undo it") {
   ReplicaLimits Limits;
-  REQUIRE(Limits.observe(Limited, 2, at(1), at(1)));
-  CHECK_FALSE(Limits.observe(Limited, std::nullopt, at(0.5), at(1.1)));
+  REQUIRE(Limits.observe(Limited, 2, std::nullopt, at(1), at(1)));
+  CHECK_FALSE(
+      Limits.observe(Limited, std::nullopt, std::nullopt, at(0.5), at(1.1)));
   CHECK(Limits.limitOf(Limited) == 2);
-  CHECK_FALSE(Limits.observe(Limited, 4, at(0.9), at(1.2)));
-  CHECK(Limits.observe(Limited, 1, at(0.9), at(1.3)));
-  CHECK(Limits.observe(Limited, 4, at(2), at(2.1)));
-  CHECK(Limits.observe(Limited, std::nullopt, at(3), at(3.1)));
+  CHECK_FALSE(Limits.observe(Limited, 4, std::nullopt, at(0.9), at(1.2)));
+  CHECK(Limits.observe(Limited, 1, std::nullopt, at(0.9), at(1.3)));
+  CHECK(Limits.observe(Limited, 4, std::nullopt, at(2), at(2.1)));
+  CHECK(Limits.observe(Limited, std::nullopt, std::nullopt, at(3), at(3.1)));
   CHECK(Limits.limitOf(Limited) == std::nullopt);
   CHECK(Limits.allows(Limited, false, at(3.1)));
 }
 
 TEST_CASE("A limit holds for the replica's process that named it") {
   ReplicaLimits Limits;
-  REQUIRE(Limits.observe(Limited, 2, at(1), at(1)));
+  REQUIRE(Limits.observe(Limited, 2, std::nullopt, at(1), at(1)));
   ReplicaProcess Restarted = Limited;
   Restarted.StartedAtMs += 1;
   CHECK(Limits.allows(Restarted, false, at(1)));
@@ -289,12 +293,56 @@
 TEST_CASE("A request that is not urgent leaves a reserve of a limit") {
   ReplicaLimits Limits;
   LimitMembers Members({1, PlaceId("a")});
-  REQUIRE(Limits.observe(Limited, 1, at(0), at(0)));
+  REQUIRE(Limits.observe(Limited, 1, std::nullopt, at(0), at(0)));
   Limits.divide(
-      Members, [](uint64_t) { return std::make_optional(Limited.Place); },
+      Members,
+      [](uint64_t) {
+        return std::make_optional(LimitedReplica{Limited.Place, 1});
+      },
       at(0));
   CHECK(Limits.allows(Limited, true, at(1.01)));
   CHECK_FALSE(Limits.allows(Limited, false, at(1.01)));
   CHECK(at(1.3) < Limits.allowedAt(Limited, false, at(1.01)));
   CHECK(Limits.allows(Limited, false, at(1.5)));
 }
+
+TEST_CASE(
+    "The parts of a brittle replica's room add up to less than its slots") {
+  for (size_t Hosts : {1U, 2U, 8U, 78U, 300U})
+    for (int Slots : {1, 2, 6, 32, 64}) {
+      std::vector<LimitMember> Members;
+      for (size_t Index = 0; Index < Hosts; ++Index)
+        Members.push_back(
+            {static_cast<uint32_t>(Index + 1),
+             PlaceId(std::string(1, static_cast<char>('a' + Index % 3)))});
+      int Sum = 0;
+      for (const LimitMember &Member : Members)
+        Sum += roomPart(Slots, Limited, Members, Member);
+      CAPTURE(Hosts, Slots);
+      CHECK(Sum <= Slots);
+      CHECK(Sum >= std::max(1, static_cast<int>(0.8 * Slots)));
+    }
+}
+
+TEST_CASE("A host has no room at a brittle replica until room is divided") {
+  ReplicaLimits Limits;
+  LimitMembers Members({1, PlaceId("a")});
+  CHECK(Limits.roomOf(Limited) == std::nullopt);
+  std::optional<NamedLimit> News =
+      Limits.observe(Limited, std::nullopt, 3, at(0), at(0));
+  REQUIRE(News);
+  CHECK(Limits.roomOf(Limited) == 0);
+  Limits.divide(
+      Members,
+      [](uint64_t) {
+        return std::make_optional(LimitedReplica{Limited.Place, 10});
+      },
+      at(0));
+  CHECK(Limits.roomOf(Limited) == 9);
+  CHECK(Limits.allows(Limited, false, at(0)));
+  ReplicaLimits Others;
+  CHECK(Others.merge(*News, at(0)));
+  CHECK(Others.roomOf(Limited) == 0);
+  CHECK(Limits.observe(Limited, std::nullopt, std::nullopt, at(1), at(1)));
+  CHECK(Limits.roomOf(Limited) == std::nullopt);
+}
