Withdraw quarantines that answers or heartbeats refute

Cause: an answer cleared a suspect on one host only; three crashes within a second came before any answer could; nothing corrected a verdict. The class: evidence for and against was not shared alike.

Change: an answer to a request that was sent after the first crash acquits its inputs on all hosts, also those in quarantine. An input that was answered in the 30 s before its first crash is given 2.5 s for another answer before it is convicted. A process whose heartbeats go on 2 s after its reported end, seen twice, refutes the crash and what was convicted on it.

--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -74,6 +74,9 @@
 /// An input in quarantine.
 std::string encodeQuarantine(uint64_t Input);
 bool decodeQuarantine(const std::string &Datagram, uint64_t &Input);
+/// An input that ends no replica: a request with it was answered.
+std::string encodeAcquittal(uint64_t Input);
+bool decodeAcquittal(const std::string &Datagram, uint64_t &Input);
 /// Reports of limits, at most MaxReportedLimits.
 inline constexpr size_t MaxReportedLimits = 24;
 std::string encodeLimits(const std::vector<NamedLimit> &Reports);
--- a/include/berylramp/quarantine.h
+++ b/include/berylramp/quarantine.h
@@ -41,11 +41,17 @@
   /// Returns the input that \p Crash puts into quarantine, if any.
   std::optional<uint64_t> onCrash(const InputCrash &Crash, Instant Now);
   /// A replica that received a request at \p SentAt wrote its answer for a
-  /// while, or completely.
-  void onAnswered(const RequestInput &Input, Instant SentAt);
+  /// while, or completely. Returns the inputs that this acquits.
+  std::vector<uint64_t> onAnswered(const RequestInput &Input, Instant SentAt,
+                                   Instant Now);
+  /// The process with the hash \p Replica lives, although it was reported to
+  /// have ended. Returns the inputs whose quarantine rested on that.
+  std::vector<uint64_t> onAlive(uint64_t Replica, Instant Now);
   /// Adds an input that another host found; false when it was in quarantine.
   bool add(uint64_t Id, Instant Now);
-  void release(uint64_t Id);
+  /// Ends the quarantine and the suspicion of an input; false if there was
+  /// neither.
+  bool release(uint64_t Id);
 
   /// Remaining time for which the request is refused; zero when it is not.
   absl::Duration refusedFor(const RequestInput &Input, Instant Now) const;
@@ -70,9 +76,25 @@
   bool explainsCrashesAlone(uint64_t Segment, const Suspect &Candidate) const;
   void dropOldest();
 
+  struct Verdict {
+    /// A later crash renews the quarantine at once.
+    Instant EndsAt;
+    /// When the first of the crashes was reported.
+    Instant FirstAt;
+    /// When each replica ended last; empty if another host found the input.
+    std::map<uint64_t, Instant> Replicas;
+  };
+  /// Whether answers to requests with the input are still to be awaited.
+  bool awaitsAnswers(uint64_t Id, const Suspect &Candidate, Instant Now) const;
+  void noteAnswered(uint64_t Id, Instant Now);
+
   absl::flat_hash_map<uint64_t, Suspect> Suspects;
-  /// When the quarantine of an input ends. A later crash renews it at once.
-  absl::flat_hash_map<uint64_t, Instant> EndsAt;
+  absl::flat_hash_map<uint64_t, Verdict> Verdicts;
+  /// When requests with an input were answered last.
+  absl::flat_hash_map<uint64_t, Instant> AnsweredAt;
+  /// Observations of processes that live although they were reported to have
+  /// ended.
+  absl::flat_hash_map<uint64_t, int> SignsOfLife;
 };
 
 } // namespace berylramp
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -138,6 +138,8 @@
   if (this->Registry.isOutdated(*Entry))
     return;
   if (Unchanged) {
+    if (Entry->Sequence > Known->Entry.Sequence)
+      this->Quarantine->onAlive(processHash(*Entry));
     Known->Entry.Sequence = Entry->Sequence;
     return;
   }
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -116,12 +116,10 @@
     return !this->Quarantine->inputs().isSuspect(Input);
   };
   Hooks.OnInputCrash = [this](const Replica &Ended, const RequestInput &Input) {
-    uint64_t Process = stableHash(
-        absl::StrCat(Ended.Entry.Id.text(), "/", Ended.Entry.StartedAtMs));
-    this->Quarantine->onOwnCrash({Process, Input});
+    this->Quarantine->onOwnCrash({processHash(Ended.Entry), Input});
   };
   Hooks.OnInputAnswered = [this](const RequestInput &Input, Instant SentAt) {
-    this->Quarantine->inputs().onAnswered(Input, SentAt);
+    this->Quarantine->onAnswered(Input, SentAt);
   };
 }
 
@@ -133,9 +131,14 @@
   Ports.SendQuarantine = [this](uint64_t Input) {
     this->Link->sendQuarantine(Input);
   };
-  Ports.Write = [this](uint64_t Input, AppendCallback Done) {
-    this->Platform.Store.Append(StoreTopic::RolloutStates,
-                                this->Platform.Codec.EncodeQuarantine(Input),
+  Ports.SendAcquittal = [this](uint64_t Input) {
+    this->Link->sendAcquittal(Input);
+  };
+  Ports.Write = [this](uint64_t Input, bool Exists, AppendCallback Done) {
+    StoreRecord Record = this->Platform.Codec.EncodeQuarantine(Input);
+    if (!Exists)
+      Record.Value = std::nullopt;
+    this->Platform.Store.Append(StoreTopic::RolloutStates, Record,
                                 StorePosition(), std::move(Done));
   };
   Ports.WriterRank = [this] { return this->writerRank(); };
@@ -144,6 +147,9 @@
   this->Link->OnInputCrash = [this](const InputCrash &Crash) {
     this->Quarantine->onPeerCrash(Crash);
   };
+  this->Link->OnAcquittal = [this](uint64_t Input) {
+    this->Quarantine->onPeerAcquittal(Input);
+  };
   this->Link->OnQuarantine = [this](uint64_t Input) {
     this->Quarantine->onPeerQuarantine(Input);
   };
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -104,6 +104,10 @@
                   [](const PlaceId &) { return true; });
 }
 
+void PeerLink::sendAcquittal(uint64_t Input) {
+  this->broadcast(encodeAcquittal(Input), [](const PlaceId &) { return true; });
+}
+
 void PeerLink::sendFullReport(const FullReport &Report) {
   this->broadcast(encodeFullReport(Report),
                   [](const PlaceId &) { return true; });
@@ -146,6 +150,8 @@
             Self->OnInputCrash(Crash);
           else if (decodeLimits(Datagram, Limits))
             std::for_each(Limits.begin(), Limits.end(), Self->OnLimitReport);
+          else if (decodeAcquittal(Datagram, Input))
+            Self->OnAcquittal(Input);
           else if (decodeQuarantine(Datagram, Input))
             Self->OnQuarantine(Input);
           else
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -34,6 +34,9 @@
   void sendInputCrash(const InputCrash &Crash);
   /// Tells all hosts of an input in quarantine.
   void sendQuarantine(uint64_t Input);
+  /// Tells all hosts of an input that ends no replica.
+  void sendAcquittal(uint64_t Input);
+  std::function<void(uint64_t Input)> OnAcquittal;
   /// Reports a brittle replica without room to all hosts.
   void sendFullReport(const FullReport &Report);
   std::function<void(const FullReport &)> OnFullReport;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -31,6 +31,7 @@
 constexpr int LimitsLayout = 105;
 /// Layout of reports of brittle replicas without room.
 constexpr int FullReportLayout = 107;
+constexpr int AcquittalLayout = 108;
 /// More segments of a prompt are not reported.
 constexpr size_t MaxReportedSegments = 32;
 /// Fits one Ethernet frame together with the protocol headers.
@@ -284,6 +285,15 @@
   return decodeReplicaReport(Datagram, QuarantineLayout, Input, Unused);
 }
 
+std::string encodeAcquittal(uint64_t Input) {
+  return encodeReplicaReport(AcquittalLayout, Input, 0);
+}
+
+bool decodeAcquittal(const std::string &Datagram, uint64_t &Input) {
+  int64_t Unused = 0;
+  return decodeReplicaReport(Datagram, AcquittalLayout, Input, Unused);
+}
+
 std::string encodeLimits(const std::vector<NamedLimit> &Reports) {
   msgpack::sbuffer Bytes;
   Packer Writer(Bytes);
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,15 +1,17 @@
 //===- quarantine.cpp - Requests that end replicas ------------------------===//
 //
 // All requests at a replica break when it ends, so that sound ones are
-// suspected too. A sound request, sent again, is answered. A segment that ends
-// engines is never answered, and it takes part in each crash; others are
-// answered in between, or take part in some of the crashes only.
+// suspected too, and segments that most requests share are in all crashes. A
+// sound request, sent again, is answered. A segment that ends engines is never
+// answered, and it takes part in each crash; others are answered in between, or
+// take part in some of the crashes only.
 //
 //===----------------------------------------------------------------------===//
 
 #include "berylramp/quarantine.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace berylramp {
 
@@ -33,6 +35,15 @@
 /// under the same id.
 constexpr absl::Duration RestartTime = absl::Milliseconds(500);
 constexpr absl::Duration QuarantineTime = absl::Minutes(10);
+/// An input that was answered shortly before the first crash is given this time
+/// for a further answer.
+constexpr absl::Duration AnswerMemory = absl::Seconds(30);
+constexpr absl::Duration AnswerTime = absl::Milliseconds(2500);
+/// Heartbeats of a process this long after it was reported to have ended show
+/// that it lives; one of them may have been delayed.
+constexpr absl::Duration AliveDelay = absl::Seconds(2);
+constexpr int MinSignsOfLife = 2;
+constexpr size_t MaxAnswered = 8192;
 constexpr size_t MaxSuspects = 4096;
 constexpr size_t MaxQuarantined = 1024;
 
@@ -47,9 +58,9 @@
 std::optional<uint64_t> InputQuarantine::onCrash(const InputCrash &Crash,
                                                  Instant Now) {
   for (uint64_t Id : idsOf(Crash.Input))
-    if (auto Known = this->EndsAt.find(Id); Known != this->EndsAt.end()) {
-      bool Ended = !(Now < Known->second);
-      Known->second = Now + QuarantineTime;
+    if (auto Known = this->Verdicts.find(Id); Known != this->Verdicts.end()) {
+      bool Ended = !(Now < Known->second.EndsAt);
+      Known->second.EndsAt = Now + QuarantineTime;
       return Ended ? std::make_optional(Id) : std::nullopt;
     }
   for (uint64_t Segment : Crash.Input.Segments)
@@ -62,7 +73,8 @@
   Request.Replicas[Crash.Replica] = Now;
   Request.CountedAt = Now;
   Request.Crashes += IsNewEnd ? 1 : 0;
-  if (Request.Crashes >= MinCrashes) {
+  if (Request.Crashes >= MinCrashes &&
+      !this->awaitsAnswers(Identity, Request, Now)) {
     this->add(Identity, Now);
     return Identity;
   }
@@ -74,6 +86,7 @@
     if (Candidate.Crashes < MinCrashes ||
         Candidate.Replicas.size() < MinReplicas ||
         Candidate.Requests.size() < MinRequests ||
+        this->awaitsAnswers(*Segment, Candidate, Now) ||
         !this->explainsCrashesAlone(*Segment, Candidate))
       continue;
     uint64_t Guilty = *Segment;
@@ -128,21 +141,79 @@
   this->Suspects.erase(Oldest);
 }
 
+bool InputQuarantine::awaitsAnswers(uint64_t Id, const Suspect &Candidate,
+                                    Instant Now) const {
+  auto Answered = this->AnsweredAt.find(Id);
+  return Answered != this->AnsweredAt.end() &&
+         Candidate.FirstAt - Answered->second < AnswerMemory &&
+         Now - Candidate.FirstAt < AnswerTime;
+}
+
+void InputQuarantine::noteAnswered(uint64_t Id, Instant Now) {
+  if (this->AnsweredAt.size() >= MaxAnswered && !this->AnsweredAt.contains(Id))
+    absl::erase_if(this->AnsweredAt, [&](const auto &Entry) {
+      return Now - Entry.second > AnswerMemory;
+    });
+  if (this->AnsweredAt.size() < MaxAnswered)
+    this->AnsweredAt[Id] = Now;
+}
+
 // Answers to requests that were sent before the first crash prove nothing: the
 // segment may have begun to end engines since.
-void InputQuarantine::onAnswered(const RequestInput &Input, Instant SentAt) {
-  if (this->Suspects.empty())
-    return;
+std::vector<uint64_t> InputQuarantine::onAnswered(const RequestInput &Input,
+                                                  Instant SentAt, Instant Now) {
+  std::vector<uint64_t> Acquitted;
+  for (uint64_t Id : Input.Segments)
+    this->noteAnswered(Id, Now);
+  if (this->Suspects.empty() && this->Verdicts.empty())
+    return Acquitted;
   for (uint64_t Id : idsOf(Input)) {
-    auto Found = this->Suspects.find(Id);
-    if (Found != this->Suspects.end() && Found->second.FirstAt < SentAt)
-      this->Suspects.erase(Found);
+    auto Suspected = this->Suspects.find(Id);
+    auto Known = this->Verdicts.find(Id);
+    bool WasSuspect =
+        Suspected != this->Suspects.end() && Suspected->second.FirstAt < SentAt;
+    bool WasGuilty =
+        Known != this->Verdicts.end() && Known->second.FirstAt < SentAt;
+    if ((WasSuspect || WasGuilty) && this->release(Id))
+      Acquitted.push_back(Id);
   }
+  return Acquitted;
+}
+
+std::vector<uint64_t> InputQuarantine::onAlive(uint64_t Replica, Instant Now) {
+  std::vector<uint64_t> Released;
+  auto IsRefuted = [&](const std::map<uint64_t, Instant> &Replicas) {
+    auto Found = Replicas.find(Replica);
+    return Found != Replicas.end() && Now - Found->second >= AliveDelay;
+  };
+  auto Concerns = [&](const auto &Entry) {
+    return IsRefuted(Entry.second.Replicas);
+  };
+  bool IsReported =
+      std::any_of(this->Suspects.begin(), this->Suspects.end(), Concerns) ||
+      std::any_of(this->Verdicts.begin(), this->Verdicts.end(), Concerns);
+  if (!IsReported)
+    return Released;
+  this->SignsOfLife[Replica] += 1;
+  if (this->SignsOfLife[Replica] < MinSignsOfLife)
+    return Released;
+  this->SignsOfLife.erase(Replica);
+  absl::erase_if(this->Suspects, Concerns);
+  for (const auto &[Id, Known] : this->Verdicts)
+    if (IsRefuted(Known.Replicas))
+      Released.push_back(Id);
+  for (uint64_t Id : Released)
+    this->release(Id);
+  return Released;
 }
 
 bool InputQuarantine::add(uint64_t Id, Instant Now) {
+  Verdict Added;
+  Added.FirstAt = Now;
   auto Suspected = this->Suspects.find(Id);
   if (Suspected != this->Suspects.end()) {
+    Added.FirstAt = Suspected->second.FirstAt;
+    Added.Replicas = Suspected->second.Replicas;
     // The input explains the crashes that others were suspected of.
     std::vector<uint64_t> Others;
     for (const auto &[Other, Count] : Suspected->second.Shared)
@@ -151,27 +222,33 @@
       this->Suspects.erase(Other);
     this->Suspects.erase(Id);
   }
-  if (this->EndsAt.size() >= MaxQuarantined && !this->EndsAt.contains(Id))
-    this->EndsAt.erase(std::min_element(
-        this->EndsAt.begin(), this->EndsAt.end(),
-        [](const auto &A, const auto &B) { return A.second < B.second; }));
-  Instant &End = this->EndsAt[Id];
-  bool IsNew = !(Now < End);
-  End = std::max(End, Now + QuarantineTime);
+  if (this->Verdicts.size() >= MaxQuarantined && !this->Verdicts.contains(Id))
+    this->Verdicts.erase(
+        std::min_element(this->Verdicts.begin(), this->Verdicts.end(),
+                         [](const auto &A, const auto &B) {
+                           return A.second.EndsAt < B.second.EndsAt;
+                         }));
+  auto [Known, IsFirst] = this->Verdicts.try_emplace(Id, Added);
+  bool IsNew = IsFirst || !(Now < Known->second.EndsAt);
+  Known->second.EndsAt =
+      std::max(Known->second.EndsAt, Now + QuarantineTime, std::less<>());
   return IsNew;
 }
 
-void InputQuarantine::release(uint64_t Id) { this->EndsAt.erase(Id); }
+bool InputQuarantine::release(uint64_t Id) {
+  size_t Erased = this->Verdicts.erase(Id);
+  return this->Suspects.erase(Id) + Erased > 0;
+}
 
 absl::Duration InputQuarantine::refusedFor(const RequestInput &Input,
                                            Instant Now) const {
   absl::Duration Longest = absl::ZeroDuration();
-  if (this->EndsAt.empty())
+  if (this->Verdicts.empty())
     return Longest;
   for (uint64_t Id : idsOf(Input)) {
-    auto Found = this->EndsAt.find(Id);
-    if (Found != this->EndsAt.end())
-      Longest = std::max(Longest, Found->second - Now);
+    auto Found = this->Verdicts.find(Id);
+    if (Found != this->Verdicts.end())
+      Longest = std::max(Longest, Found->second.EndsAt - Now);
   }
   return Longest;
 }
@@ -180,7 +257,7 @@
   std::vector<uint64_t> Ids = idsOf(Input);
   return std::any_of(Ids.begin(), Ids.end(), [&](uint64_t Id) {
     auto Found = this->Suspects.find(Id);
-    return this->EndsAt.contains(Id) ||
+    return this->Verdicts.contains(Id) ||
            (Found != this->Suspects.end() &&
             Found->second.Crashes >= MinCrashesOfSuspect);
   });
@@ -188,7 +265,7 @@
 
 std::vector<uint64_t> InputQuarantine::inputs() const {
   std::vector<uint64_t> Result;
-  for (const auto &[Id, End] : this->EndsAt)
+  for (const auto &[Id, Known] : this->Verdicts)
     Result.push_back(Id);
   return Result;
 }
