--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -58,7 +58,7 @@
   Endpoint Directory;
   /// Port 0 disables calls between hosts.
   Endpoint Peers;
-  /// UDP port for datagrams between hosts.
+  /// UDP port for datagrams between hosts, and TCP port for tunnels.
   int GossipPort = 0;
   std::vector<Endpoint> Seeds;
   Endpoint Store;
