--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -38,9 +38,9 @@
       Paths->onUnreached(Target, Since, Hangs);
   };
   Server.ExplainRefusal = [Weak](const PathTarget &Target,
-                                 TunnelCallback Done) {
+                                 const TunnelCallback &Done) {
     if (auto Paths = Weak.lock())
-      Paths->explainRefusal(Target, std::move(Done));
+      Paths->explainRefusal(Target, Done);
   };
   this->Tunnels =
       std::make_unique<TunnelServer>(Loop, Timer, std::move(Server));
--- a/src/exchange/path_controller.cpp
+++ b/src/exchange/path_controller.cpp
@@ -190,7 +190,7 @@
 }
 
 void PathController::explainRefusal(const PathTarget &Target,
-                                    TunnelCallback Done) {
+                                    const TunnelCallback &Done) {
   ReplicaPtr Similar = this->anyReplica([&](const Replica &Candidate) {
     return Candidate.Entry.Service == Target.Service &&
            Candidate.IdHash != Target.Replica;
--- a/src/exchange/path_controller.h
+++ b/src/exchange/path_controller.h
@@ -60,7 +60,7 @@
   void explainFailure(const ReplicaPtr &Target, Instant SilentSince,
                       CauseCallback Done);
   /// Answers another host whose connection this host saw refused as well.
-  void explainRefusal(const PathTarget &Target, TunnelCallback Done);
+  void explainRefusal(const PathTarget &Target, const TunnelCallback &Done);
   /// Tries connections over lost paths; called periodically.
   void probe();
 
