--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -444,14 +444,17 @@
   this->Store->put("keyed.op", "rollout/engine",
                    R"({"service":"engine","target":"v2","durationS":6})");
   int RequestCount = 0;
-  CHECK(this->runUntil(
+  bool IsComplete = this->runUntil(
       [&] {
         RequestCount += 1;
         this->call("/stream/a", absl::StrCat("s", RequestCount));
         return absl::StrContains(
             this->Store->newest("keyed.status", "rollout/engine"), "complete");
       },
-      absl::Seconds(60)));
+      absl::Seconds(60));
+  CAPTURE(RequestCount, Good->ExecutedRequests.size(),
+          this->Store->newest("keyed.status", "rollout/engine"));
+  CHECK(IsComplete);
 }
 
 // Guards against a request that is bound to the version it started on, which is
