Key groups of paths by hashes instead of texts

Cause: each opened connection built four texts to find its groups, on the path of every request with a new connection. Change: the key is a kind and a hash; the name is built when a path is lost. An unused accessor goes.

--- a/include/berylramp/paths.h
+++ b/include/berylramp/paths.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "berylramp/timer.h"
 #include "berylramp/units.h"
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -53,8 +54,6 @@
   /// Whether this host should reach the replica over another host.
   bool isLost(const PathTarget &Target) const;
   bool anyLost() const { return this->LostCount > 0; }
-  /// When a connection was opened last.
-  Instant lastReached() const { return this->LastReached; }
   /// One replica for each lost group, among \p Known, to which a connection
   /// should be tried; others at each call.
   std::vector<uint64_t> chooseProbes(const std::vector<PathTarget> &Known);
@@ -64,19 +63,26 @@
   std::vector<PathChange> takeChanges();
 
 private:
+  enum class GroupKind { All, Service, Place, Replica };
+  /// The kind, and the hash of the name of a service or place or the id of a
+  /// replica.
+  using GroupKey = std::pair<GroupKind, uint64_t>;
   struct Group {
     /// When one of the group's replicas was reached last.
     Instant ReachedAt;
     /// Since when each of the others was not.
     std::map<uint64_t, Instant> Unreached;
     bool Lost = false;
+    /// Set when the path is lost.
+    std::string Name;
   };
-  void setLost(const std::string &Name, Group &Changed, bool Lost);
-  static std::vector<std::string> groupsOf(const PathTarget &Target);
+  void markLost(GroupKind Kind, Group &Changed, const PathTarget &Member);
+  void markRegained(Group &Changed);
+  static std::array<GroupKey, 4> groupsOf(const PathTarget &Target);
+  static std::string nameOf(GroupKind Kind, const PathTarget &Member);
 
-  absl::flat_hash_map<std::string, Group> Groups;
+  absl::flat_hash_map<GroupKey, Group> Groups;
   std::vector<PathChange> Changes;
-  Instant LastReached{-absl::InfiniteDuration()};
   size_t LostCount = 0;
   size_t NextProbe = 0;
 };
--- a/src/paths/paths.cpp
+++ b/src/paths/paths.cpp
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include <algorithm>
+#include <set>
 
 namespace berylramp {
 
@@ -24,35 +25,56 @@
 /// its path is lost: one service may be cut off alone.
 constexpr absl::Duration MixedQuietTime = absl::Milliseconds(500);
 
-constexpr const char *AllGroup = "all";
+} // namespace
 
-std::string replicaGroup(const PathTarget &Target) {
-  return absl::StrCat("replica ", absl::Hex(Target.Replica));
+std::array<PathMonitor::GroupKey, 4>
+PathMonitor::groupsOf(const PathTarget &Target) {
+  return {GroupKey{GroupKind::All, 0},
+          GroupKey{GroupKind::Service, stableHash(Target.Service.text())},
+          GroupKey{GroupKind::Place, stableHash(Target.Place.text())},
+          GroupKey{GroupKind::Replica, Target.Replica}};
 }
 
-} // namespace
+std::string PathMonitor::nameOf(GroupKind Kind, const PathTarget &Member) {
+  switch (Kind) {
+  case GroupKind::All:
+    return "all";
+  case GroupKind::Service:
+    return absl::StrCat("service ", Member.Service.text());
+  case GroupKind::Place:
+    return absl::StrCat("place ", Member.Place.text());
+  case GroupKind::Replica:
+    break;
+  }
+  return absl::StrCat("replica ", absl::Hex(Member.Replica));
+}
 
-std::vector<std::string> PathMonitor::groupsOf(const PathTarget &Target) {
-  return {AllGroup, absl::StrCat("service ", Target.Service.text()),
-          absl::StrCat("place ", Target.Place.text()), replicaGroup(Target)};
+void PathMonitor::markLost(GroupKind Kind, Group &Changed,
+                           const PathTarget &Member) {
+  if (Changed.Lost)
+    return;
+  Changed.Lost = true;
+  Changed.Name = nameOf(Kind, Member);
+  this->LostCount += 1;
+  this->Changes.push_back({Changed.Name, true, Changed.Unreached.size()});
 }
 
-void PathMonitor::setLost(const std::string &Name, Group &Changed, bool Lost) {
-  if (Changed.Lost == Lost)
+void PathMonitor::markRegained(Group &Changed) {
+  if (!Changed.Lost)
     return;
-  Changed.Lost = Lost;
-  this->LostCount = Lost ? this->LostCount + 1 : this->LostCount - 1;
-  this->Changes.push_back({Name, Lost, Changed.Unreached.size()});
+  Changed.Lost = false;
+  this->LostCount -= 1;
+  this->Changes.push_back({Changed.Name, false, Changed.Unreached.size()});
 }
 
 void PathMonitor::onReached(const PathTarget &Target, Instant Now) {
-  this->LastReached = Now;
-  for (const std::string &Name : groupsOf(Target)) {
-    auto Found = this->Groups.find(Name);
-    if (Found == this->Groups.end() && Name == replicaGroup(Target))
+  for (const GroupKey &Key : groupsOf(Target)) {
+    auto Found = this->Groups.find(Key);
+    bool IsReplica = Key.first == GroupKind::Replica;
+    if (Found == this->Groups.end() && IsReplica)
       continue;
-    Group &Reached = this->Groups[Name];
-    this->setLost(Name, Reached, false);
+    Group &Reached = this->Groups[Key];
+    this->markRegained(Reached);
     Reached.ReachedAt = Now;
     Reached.Unreached.clear();
   }
@@ -61,8 +83,8 @@
 // A connection that began to open before another one was opened says nothing:
 // it may have been lost with a cut that has ended.
 void PathMonitor::onUnreached(const PathTarget &Target, Instant Since) {
-  for (const std::string &Name : groupsOf(Target)) {
-    Group &Failed = this->Groups[Name];
+  for (const GroupKey &Key : groupsOf(Target)) {
+    Group &Failed = this->Groups[Key];
     if (Since < Failed.ReachedAt)
       continue;
     if (!Failed.Lost)
@@ -73,49 +95,44 @@
                     : std::next(Entry);
     Instant &Latest = Failed.Unreached[Target.Replica];
     Latest = std::max(Latest, Since);
-    bool IsMixed =
-        Name == AllGroup || Name == absl::StrCat("place ", Target.Place.text());
+    bool IsMixed = Key.first == GroupKind::All || Key.first == GroupKind::Place;
     bool IsQuiet = !IsMixed || Since - Failed.ReachedAt >= MixedQuietTime;
     if (Failed.Unreached.size() >= MinUnreached && IsQuiet)
-      this->setLost(Name, Failed, true);
+      this->markLost(Key.first, Failed, Target);
   }
 }
 
 void PathMonitor::onReachedByPeer(const PathTarget &Target, Instant Now) {
-  std::string Name = replicaGroup(Target);
-  auto Found = this->Groups.find(Name);
+  auto Found = this->Groups.find({GroupKind::Replica, Target.Replica});
   if (Found == this->Groups.end() || Found->second.Unreached.empty())
     return;
   if (Now - Found->second.Unreached.begin()->second < EvidenceTime)
-    this->setLost(Name, Found->second, true);
+    this->markLost(GroupKind::Replica, Found->second, Target);
 }
 
 bool PathMonitor::isLost(const PathTarget &Target) const {
   if (this->LostCount == 0)
     return false;
-  std::vector<std::string> Names = groupsOf(Target);
-  return std::any_of(Names.begin(), Names.end(), [&](const std::string &Name) {
-    auto Found = this->Groups.find(Name);
+  std::array<GroupKey, 4> Keys = groupsOf(Target);
+  return std::any_of(Keys.begin(), Keys.end(), [&](const GroupKey &Key) {
+    auto Found = this->Groups.find(Key);
     return Found != this->Groups.end() && Found->second.Lost;
   });
 }
 
 std::vector<uint64_t>
 PathMonitor::chooseProbes(const std::vector<PathTarget> &Known) {
-  std::vector<uint64_t> Chosen;
-  this->NextProbe += 1;
-  for (const auto &[Name, Lost] : this->Groups) {
-    if (!Lost.Lost)
-      continue;
-    std::vector<uint64_t> Members;
-    for (const PathTarget &Target : Known) {
-      std::vector<std::string> Names = groupsOf(Target);
-      if (std::find(Names.begin(), Names.end(), Name) != Names.end())
-        Members.push_back(Target.Replica);
+  std::map<GroupKey, std::vector<uint64_t>> Members;
+  for (const PathTarget &Target : Known)
+    for (const GroupKey &Key : groupsOf(Target)) {
+      auto Found = this->Groups.find(Key);
+      if (Found != this->Groups.end() && Found->second.Lost)
+        Members[Key].push_back(Target.Replica);
     }
-    if (Members.empty())
-      continue;
-    uint64_t Replica = Members[this->NextProbe % Members.size()];
+  this->NextProbe += 1;
+  std::vector<uint64_t> Chosen;
+  for (const auto &[Key, Replicas] : Members) {
+    uint64_t Replica = Replicas[this->NextProbe % Replicas.size()];
     if (std::find(Chosen.begin(), Chosen.end(), Replica) == Chosen.end())
       Chosen.push_back(Replica);
   }
@@ -123,15 +140,14 @@
 }
 
 void PathMonitor::retain(const std::vector<PathTarget> &Known) {
-  std::vector<std::string> Names;
+  std::set<GroupKey> Keys;
   for (const PathTarget &Target : Known)
-    for (std::string &Name : groupsOf(Target))
-      Names.push_back(std::move(Name));
-  std::sort(Names.begin(), Names.end());
+    for (const GroupKey &Key : groupsOf(Target))
+      Keys.insert(Key);
   absl::erase_if(this->Groups, [&](auto &Entry) {
-    if (std::binary_search(Names.begin(), Names.end(), Entry.first))
+    if (Keys.count(Entry.first) != 0)
       return false;
-    this->setLost(Entry.first, Entry.second, false);
+    this->markRegained(Entry.second);
     return true;
   });
 }
