Bound the memory of answered inputs without a scan

Cause: when the map of answered inputs was full, each answer scanned all of it. Change: two sets that are rotated every 15 s. An input counts as answered shortly before for 15 to 30 s (30 s before). Signs of life of processes are dropped when nothing is suspected.

--- a/include/berylramp/quarantine.h
+++ b/include/berylramp/quarantine.h
@@ -9,6 +9,7 @@
 #define BERYLRAMP_QUARANTINE_H
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "berylramp/timer.h"
 #include <cstdint>
@@ -86,12 +87,15 @@
   };
   /// Whether answers to requests with the input are still to be awaited.
   bool awaitsAnswers(uint64_t Id, const Suspect &Candidate, Instant Now) const;
-  void noteAnswered(uint64_t Id, Instant Now);
+  void noteAnswered(const std::vector<uint64_t> &Segments, Instant Now);
 
   absl::flat_hash_map<uint64_t, Suspect> Suspects;
   absl::flat_hash_map<uint64_t, Verdict> Verdicts;
-  /// When requests with an input were answered last.
-  absl::flat_hash_map<uint64_t, Instant> AnsweredAt;
+  /// Segments of requests that were answered since RotatedAt, and in the
+  /// interval of the same length before.
+  absl::flat_hash_set<uint64_t> Answered;
+  absl::flat_hash_set<uint64_t> AnsweredBefore;
+  Instant RotatedAt;
   /// Observations of processes that live although they were reported to have
   /// ended.
   absl::flat_hash_map<uint64_t, int> SignsOfLife;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -35,9 +35,9 @@
 /// under the same id.
 constexpr absl::Duration RestartTime = absl::Milliseconds(500);
 constexpr absl::Duration QuarantineTime = absl::Minutes(10);
-/// An input that was answered shortly before the first crash is given this time
-/// for a further answer.
-constexpr absl::Duration AnswerMemory = absl::Seconds(30);
+/// An input that was answered shortly before the first crash, for at least the
+/// first of these times, is given the second one for a further answer.
+constexpr absl::Duration AnswerMemory = absl::Seconds(15);
 constexpr absl::Duration AnswerTime = absl::Milliseconds(2500);
 /// Heartbeats of a process this long after it was reported to have ended show
 /// that it lives; one of them may have been delayed.
@@ -143,19 +143,20 @@
 
 bool InputQuarantine::awaitsAnswers(uint64_t Id, const Suspect &Candidate,
                                     Instant Now) const {
-  auto Answered = this->AnsweredAt.find(Id);
-  return Answered != this->AnsweredAt.end() &&
-         Candidate.FirstAt - Answered->second < AnswerMemory &&
-         Now - Candidate.FirstAt < AnswerTime;
+  bool WasAnswered =
+      this->Answered.contains(Id) || this->AnsweredBefore.contains(Id);
+  return WasAnswered && Now - Candidate.FirstAt < AnswerTime;
 }
 
-void InputQuarantine::noteAnswered(uint64_t Id, Instant Now) {
-  if (this->AnsweredAt.size() >= MaxAnswered && !this->AnsweredAt.contains(Id))
-    absl::erase_if(this->AnsweredAt, [&](const auto &Entry) {
-      return Now - Entry.second > AnswerMemory;
-    });
-  if (this->AnsweredAt.size() < MaxAnswered)
-    this->AnsweredAt[Id] = Now;
+void InputQuarantine::noteAnswered(const std::vector<uint64_t> &Segments,
+                                   Instant Now) {
+  bool IsFull = this->Answered.size() >= MaxAnswered;
+  if (IsFull || Now - this->RotatedAt >= AnswerMemory) {
+    std::swap(this->AnsweredBefore, this->Answered);
+    this->Answered.clear();
+    this->RotatedAt = Now;
+  }
+  this->Answered.insert(Segments.begin(), Segments.end());
 }
 
 // Answers to requests that were sent before the first crash prove nothing: the
@@ -163,8 +164,7 @@
 std::vector<uint64_t> InputQuarantine::onAnswered(const RequestInput &Input,
                                                   Instant SentAt, Instant Now) {
   std::vector<uint64_t> Acquitted;
-  for (uint64_t Id : Input.Segments)
-    this->noteAnswered(Id, Now);
+  this->noteAnswered(Input.Segments, Now);
   if (this->Suspects.empty() && this->Verdicts.empty())
     return Acquitted;
   for (uint64_t Id : idsOf(Input)) {
@@ -182,6 +182,10 @@
 
 std::vector<uint64_t> InputQuarantine::onAlive(uint64_t Replica, Instant Now) {
   std::vector<uint64_t> Released;
+  if (this->Suspects.empty() && this->Verdicts.empty()) {
+    this->SignsOfLife.clear();
+    return Released;
+  }
   auto IsRefuted = [&](const std::map<uint64_t, Instant> &Replicas) {
     auto Found = Replicas.find(Replica);
     return Found != Replicas.end() && Now - Found->second >= AliveDelay;
@@ -192,8 +196,10 @@
   bool IsReported =
       std::any_of(this->Suspects.begin(), this->Suspects.end(), Concerns) ||
       std::any_of(this->Verdicts.begin(), this->Verdicts.end(), Concerns);
-  if (!IsReported)
+  if (!IsReported) {
+    this->SignsOfLife.erase(Replica);
     return Released;
+  }
   this->SignsOfLife[Replica] += 1;
   if (this->SignsOfLife[Replica] < MinSignsOfLife)
     return Released;
