Decode reports of hosts once, and split grown files

Cause: each datagram was decoded up to seven times, with an exception for each kind that it was not; five pairs of functions for reports differed in a number only. Now one variant is encoded and decoded once; the tests check all kinds, and truncated reports too.

--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -18,7 +18,9 @@
 #include "berylramp/timer.h"
 #include "berylramp/units.h"
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace berylramp {
@@ -62,30 +64,23 @@
   int64_t StartedAtMs = 0;
 };
 
-std::string encodeFullReport(const FullReport &Report);
-/// False when \p Datagram is no report of a full replica.
-bool decodeFullReport(const std::string &Datagram, FullReport &Report);
-std::string encodeLeavingReport(const LeavingReport &Report);
-/// False when \p Datagram is no report of a leaving replica.
-bool decodeLeavingReport(const std::string &Datagram, LeavingReport &Report);
-std::string encodeInputCrash(const InputCrash &Crash);
-/// False when \p Datagram is no report of a replica that ended.
-bool decodeInputCrash(const std::string &Datagram, InputCrash &Crash);
-/// An input in quarantine.
-std::string encodeQuarantine(uint64_t Input);
-bool decodeQuarantine(const std::string &Datagram, uint64_t &Input);
-/// An input that ends no replica: a request with it was answered.
-std::string encodeAcquittal(uint64_t Input);
-bool decodeAcquittal(const std::string &Datagram, uint64_t &Input);
-/// Reports of limits, at most MaxReportedLimits.
+/// Report on an input: whether requests with it end replicas, or were answered.
+struct InputReport {
+  uint64_t Input = 0;
+  bool EndsReplicas = false;
+};
+
+/// Limits that replicas named; at most MaxReportedLimits fit a datagram.
+using LimitReports = std::vector<NamedLimit>;
 inline constexpr size_t MaxReportedLimits = 24;
-std::string encodeLimits(const std::vector<NamedLimit> &Reports);
-/// False when \p Datagram contains no reports of limits.
-bool decodeLimits(const std::string &Datagram,
-                  std::vector<NamedLimit> &Reports);
-std::string encodeWorkReport(const WorkReport &Report);
-/// False when \p Datagram is no work report.
-bool decodeWorkReport(const std::string &Datagram, WorkReport &Report);
+
+/// What a datagram may contain instead of states of hosts.
+using GossipReport = std::variant<WorkReport, LeavingReport, FullReport,
+                                  InputCrash, InputReport, LimitReports>;
+
+std::string encodeReport(const GossipReport &Report);
+/// Nothing when \p Datagram contains no report.
+std::optional<GossipReport> decodeReport(const std::string &Datagram);
 
 /// A host's role with respect to the platform's store.
 enum class StoreRole {
--- a/src/edge/edge_limits.cpp
+++ b/src/edge/edge_limits.cpp
@@ -26,13 +26,10 @@
   this->Link->LimitsToReport = [this] {
     return this->Registry.limits().reports(MaxReportedLimits);
   };
-  this->Link->OnLimitReport = [this](const NamedLimit &Report) {
-    this->onLimitReport(Report);
-  };
 }
 
 void EdgeDaemon::State::shareLimit(const NamedLimit &News) {
-  this->Link->sendLimits({News});
+  this->Link->sendReport(LimitReports{News});
   this->divideLimits();
 }
 
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -86,18 +86,20 @@
   };
   Hooks.OnWorkSent = [this](const Replica &Target, absl::Duration Work) {
     if (Work >= MinReportedWork)
-      this->Link->sendWorkReport(
-          {Target.IdHash, absl::ToInt64Milliseconds(Work)}, Target.Entry.Place);
+      this->Link->sendReport(
+          WorkReport{Target.IdHash, absl::ToInt64Milliseconds(Work)},
+          Target.Entry.Place);
   };
   Hooks.OnReplicaLeaving = [this](const Replica &Leaving) {
     this->logLeavingReplica(Leaving.Entry.Id, "answer");
-    this->Link->sendLeavingReport({Leaving.IdHash, Leaving.Entry.StartedAtMs});
+    this->Link->sendReport(
+        LeavingReport{Leaving.IdHash, Leaving.Entry.StartedAtMs});
   };
   Hooks.OnReplicaLimit = [this](const NamedLimit &News) {
     this->shareLimit(News);
   };
   Hooks.OnBrittleFull = [this](const Replica &Full) {
-    this->Link->sendFullReport({Full.IdHash, Full.Entry.StartedAtMs});
+    this->Link->sendReport(FullReport{Full.IdHash, Full.Entry.StartedAtMs});
   };
   Hooks.OnMisdirected = [this](const UpstreamId &Id) {
     Json::Value Line(Json::objectValue);
@@ -125,14 +127,8 @@
 
 void EdgeDaemon::State::createQuarantine() {
   QuarantineController::Ports Ports;
-  Ports.SendCrash = [this](const InputCrash &Crash) {
-    this->Link->sendInputCrash(Crash);
-  };
-  Ports.SendQuarantine = [this](uint64_t Input) {
-    this->Link->sendQuarantine(Input);
-  };
-  Ports.SendAcquittal = [this](uint64_t Input) {
-    this->Link->sendAcquittal(Input);
+  Ports.SendReport = [this](const GossipReport &Report) {
+    this->Link->sendReport(Report);
   };
   Ports.Write = [this](uint64_t Input, bool Exists, AppendCallback Done) {
     StoreRecord Record = this->Platform.Codec.EncodeQuarantine(Input);
@@ -144,23 +140,6 @@
   Ports.WriterRank = [this] { return this->writerRank(); };
   Ports.Now = [this] { return this->Timer.now(); };
   this->Quarantine = std::make_unique<QuarantineController>(std::move(Ports));
-  this->Link->OnInputCrash = [this](const InputCrash &Crash) {
-    this->Quarantine->onPeerCrash(Crash);
-  };
-  this->Link->OnAcquittal = [this](uint64_t Input) {
-    this->Quarantine->onPeerAcquittal(Input);
-  };
-  this->Link->OnQuarantine = [this](uint64_t Input) {
-    this->Quarantine->onPeerQuarantine(Input);
-  };
-}
-
-void EdgeDaemon::State::logLeavingReplica(const UpstreamId &Id,
-                                          const char *Source) const {
-  Json::Value Line(Json::objectValue);
-  Line["replica"] = Id.text();
-  Line["source"] = Source;
-  logEvent(LogLevel::Info, "replica_leaving", Line);
 }
 
 std::unique_ptr<HttpListener>
@@ -226,19 +205,8 @@
   this->Link = std::make_shared<PeerLink>(
       this->Loop, this->Timer, this->Counters, this->Config, this->Peers,
       this->Settings.GossipTargets);
-  this->Link->OnWorkReport = [this](const WorkReport &Report) {
-    this->Registry.addRemoteWork(
-        Report.Replica, absl::Milliseconds(Report.WorkMs), this->Timer.now());
-  };
-  this->Link->OnFullReport = [this](const FullReport &Report) {
-    this->Registry.markFull(Report.Replica, Report.StartedAtMs,
-                            this->Timer.now());
-  };
-  this->Link->OnLeavingReport = [this](const LeavingReport &Report) {
-    std::optional<UpstreamId> Id = this->Registry.markLeaving(
-        Report.Replica, Report.StartedAtMs, this->Timer.now());
-    if (Id)
-      this->logLeavingReplica(*Id, "peer");
+  this->Link->OnReport = [this](const GossipReport &Report) {
+    this->onReport(Report);
   };
   this->createQuarantine();
   this->connectLimits();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -101,6 +101,8 @@
   void shareLimit(const NamedLimit &News);
   void onLimitReport(const NamedLimit &Report);
   void divideLimits();
+  struct ReportHandler;
+  void onReport(const GossipReport &Report);
   void logLeavingReplica(const UpstreamId &Id, const char *Source) const;
 
   void applyOperatorRecords(const std::vector<StoreRecord> &Records,
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -55,7 +55,7 @@
   for (uint32_t Ip : Addresses) {
     this->sendTo(Ip, Datagram);
     if (!Limits.empty())
-      this->sendTo(Ip, encodeLimits(Limits));
+      this->sendTo(Ip, encodeReport(Limits));
   }
   this->Counters.count(Counter::PeerExchanges);
 }
@@ -81,42 +81,18 @@
   }
 }
 
-void PeerLink::sendWorkReport(const WorkReport &Report, const PlaceId &Place) {
-  this->broadcast(encodeWorkReport(Report),
-                  [&](const PlaceId &Other) { return Other == Place; });
-}
-
-void PeerLink::sendLeavingReport(const LeavingReport &Report) {
-  this->broadcast(encodeLeavingReport(Report), [this](const PlaceId &Other) {
+void PeerLink::sendReport(const GossipReport &Report, const PlaceId &Place) {
+  bool IsWork = std::holds_alternative<WorkReport>(Report);
+  bool IsLeaving = std::holds_alternative<LeavingReport>(Report);
+  this->broadcast(encodeReport(Report), [&](const PlaceId &Other) {
+    if (IsWork)
+      return Other == Place;
     auto Region = this->Config.Regions.find(Other);
-    return Region != this->Config.Regions.end() &&
-           Region->second == this->Config.Region;
+    return !IsLeaving || (Region != this->Config.Regions.end() &&
+                          Region->second == this->Config.Region);
   });
 }
 
-void PeerLink::sendInputCrash(const InputCrash &Crash) {
-  this->broadcast(encodeInputCrash(Crash),
-                  [](const PlaceId &) { return true; });
-}
-
-void PeerLink::sendQuarantine(uint64_t Input) {
-  this->broadcast(encodeQuarantine(Input),
-                  [](const PlaceId &) { return true; });
-}
-
-void PeerLink::sendAcquittal(uint64_t Input) {
-  this->broadcast(encodeAcquittal(Input), [](const PlaceId &) { return true; });
-}
-
-void PeerLink::sendFullReport(const FullReport &Report) {
-  this->broadcast(encodeFullReport(Report),
-                  [](const PlaceId &) { return true; });
-}
-
-void PeerLink::sendLimits(const std::vector<NamedLimit> &Reports) {
-  this->broadcast(encodeLimits(Reports), [](const PlaceId &) { return true; });
-}
-
 void PeerLink::receive() {
   auto Self = this->shared_from_this();
   this->Socket.async_wait(
@@ -134,26 +110,8 @@
           Self->Counters.count(Counter::PeerBytesReceived,
                                static_cast<int64_t>(Count));
           std::string Datagram(Bytes.data(), Count);
-          WorkReport Work;
-          LeavingReport Leaving;
-          FullReport Full;
-          InputCrash Crash;
-          std::vector<NamedLimit> Limits;
-          uint64_t Input = 0;
-          if (decodeWorkReport(Datagram, Work))
-            Self->OnWorkReport(Work);
-          else if (decodeLeavingReport(Datagram, Leaving))
-            Self->OnLeavingReport(Leaving);
-          else if (decodeFullReport(Datagram, Full))
-            Self->OnFullReport(Full);
-          else if (decodeInputCrash(Datagram, Crash))
-            Self->OnInputCrash(Crash);
-          else if (decodeLimits(Datagram, Limits))
-            std::for_each(Limits.begin(), Limits.end(), Self->OnLimitReport);
-          else if (decodeAcquittal(Datagram, Input))
-            Self->OnAcquittal(Input);
-          else if (decodeQuarantine(Datagram, Input))
-            Self->OnQuarantine(Input);
+          if (std::optional<GossipReport> Report = decodeReport(Datagram))
+            Self->OnReport(*Report);
           else
             Self->mergeState(Datagram, Sender.address().to_v4().to_uint());
         }
@@ -174,7 +132,7 @@
   this->sendTo(Sender, this->Peers.encode(Now));
   std::vector<NamedLimit> Limits = this->LimitsToReport();
   if (!Limits.empty())
-    this->sendTo(Sender, encodeLimits(Limits));
+    this->sendTo(Sender, encodeReport(Limits));
 }
 
 bool PeerLink::fetch(uint32_t Ip, const PeerQuery &Query,
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -26,34 +26,16 @@
   void close();
   /// Sends this host's state to a few peers.
   void sendState();
-  /// Reports prefill work to the hosts of the replica's data centre \p Place.
-  void sendWorkReport(const WorkReport &Report, const PlaceId &Place);
-  /// Reports a replica that is shutting down to the hosts of this region.
-  void sendLeavingReport(const LeavingReport &Report);
-  /// Reports a replica that ended under a request to all hosts.
-  void sendInputCrash(const InputCrash &Crash);
-  /// Tells all hosts of an input in quarantine.
-  void sendQuarantine(uint64_t Input);
-  /// Tells all hosts of an input that ends no replica.
-  void sendAcquittal(uint64_t Input);
-  std::function<void(uint64_t Input)> OnAcquittal;
-  /// Reports a brittle replica without room to all hosts.
-  void sendFullReport(const FullReport &Report);
-  std::function<void(const FullReport &)> OnFullReport;
-  /// Reports limits to all hosts.
-  void sendLimits(const std::vector<NamedLimit> &Reports);
+  /// Sends a report to the hosts that it concerns: prefill work to those in
+  /// the replica's data centre \p Place, a leaving replica to this region, all
+  /// else to all hosts.
+  void sendReport(const GossipReport &Report, const PlaceId &Place = PlaceId());
   /// Returns the limits to report with this host's state.
   std::function<std::vector<NamedLimit>()> LimitsToReport = [] {
     return std::vector<NamedLimit>();
   };
-  /// Called for each report of a limit that a peer sent.
-  std::function<void(const NamedLimit &)> OnLimitReport;
-  std::function<void(const InputCrash &)> OnInputCrash;
-  std::function<void(uint64_t Input)> OnQuarantine;
-  /// Called for each report of a leaving replica that a peer sent.
-  std::function<void(const LeavingReport &)> OnLeavingReport;
-  /// Called for each work report that a peer sent.
-  std::function<void(const WorkReport &)> OnWorkReport;
+  /// Called for each report that a peer sent.
+  std::function<void(const GossipReport &)> OnReport;
   /// Requests records from a peer. False when another request is in progress or
   /// the host has no port for calls between peers.
   bool fetch(uint32_t Ip, const PeerQuery &Query,
--- a/src/edge/quarantine_controller.cpp
+++ b/src/edge/quarantine_controller.cpp
@@ -45,7 +45,7 @@
 
 void QuarantineController::onOwnCrash(const InputCrash &Crash) {
   if (this->mayReport())
-    this->Callbacks.SendCrash(Crash);
+    this->Callbacks.SendReport(Crash);
   std::optional<uint64_t> Input =
       this->Quarantine.onCrash(Crash, this->Callbacks.Now());
   if (Input)
@@ -57,21 +57,23 @@
   for (uint64_t Id :
        this->Quarantine.onAnswered(Input, SentAt, this->Callbacks.Now())) {
     if (this->mayReport())
-      this->Callbacks.SendAcquittal(Id);
+      this->Callbacks.SendReport(InputReport{Id, /*EndsReplicas=*/false});
     this->onReleased(Id, "answer");
   }
 }
 
 void QuarantineController::onAlive(uint64_t Replica) {
   for (uint64_t Id : this->Quarantine.onAlive(Replica, this->Callbacks.Now())) {
-    this->Callbacks.SendAcquittal(Id);
+    this->Callbacks.SendReport(InputReport{Id, /*EndsReplicas=*/false});
     this->onReleased(Id, "the replica lives");
   }
 }
 
-void QuarantineController::onPeerAcquittal(uint64_t Input) {
-  if (this->Quarantine.release(Input))
-    this->onReleased(Input, "peer");
+void QuarantineController::onPeerReport(const InputReport &Report) {
+  if (Report.EndsReplicas)
+    this->onPeerQuarantine(Report.Input);
+  else if (this->Quarantine.release(Report.Input))
+    this->onReleased(Report.Input, "peer");
 }
 
 // The record may not have been written, or another host may write it later; it
@@ -105,7 +107,7 @@
   Json::Value Line = logFieldsOf(Input);
   Line["source"] = Source;
   logEvent(LogLevel::Warn, "input_quarantined", Line);
-  this->Callbacks.SendQuarantine(Input);
+  this->Callbacks.SendReport(InputReport{Input, /*EndsReplicas=*/true});
   this->ReleasedAt.erase(Input);
   this->PendingWrites[Input] = {this->Callbacks.Now()};
 }
--- a/src/edge/quarantine_controller.h
+++ b/src/edge/quarantine_controller.h
@@ -9,7 +9,7 @@
 #define BERYLRAMP_EDGE_QUARANTINE_CONTROLLER_H
 
 #include "berylramp/edge.h"
-#include "berylramp/quarantine.h"
+#include "berylramp/gossip.h"
 #include <map>
 #include <set>
 
@@ -21,9 +21,8 @@
 class QuarantineController {
 public:
   struct Ports {
-    std::function<void(const InputCrash &)> SendCrash;
-    std::function<void(uint64_t Input)> SendQuarantine;
-    std::function<void(uint64_t Input)> SendAcquittal;
+    /// Sends a report to all hosts.
+    std::function<void(const GossipReport &)> SendReport;
     /// Writes the record of an input in quarantine, or deletes it.
     std::function<void(uint64_t Input, bool Exists, AppendCallback)> Write;
     /// The number of live hosts that write before this one.
@@ -37,10 +36,9 @@
   /// A replica ended under a request of this host.
   void onOwnCrash(const InputCrash &Crash);
   void onPeerCrash(const InputCrash &Crash);
-  void onPeerQuarantine(uint64_t Input);
+  void onPeerReport(const InputReport &Report);
   /// A request of this host that was sent at \p SentAt was answered.
   void onAnswered(const RequestInput &Input, Instant SentAt);
-  void onPeerAcquittal(uint64_t Input);
   /// The process with the hash \p Replica wrote a heartbeat.
   void onAlive(uint64_t Replica);
   /// The store has a record of the input, or no longer has it.
@@ -59,6 +57,7 @@
     bool Exists = true;
   };
   void onQuarantined(uint64_t Input, const char *Source);
+  void onPeerQuarantine(uint64_t Input);
   void onReleased(uint64_t Input, const char *Source);
   bool wasReleasedRecently(uint64_t Input) const;
   /// Takes one datagram to all hosts from this host's allowance.
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -25,6 +25,10 @@
     absl::Milliseconds(500);
 inline constexpr absl::Duration RetryDelayOtherHost = absl::Milliseconds(50);
 
+/// A replica that ends under a prompt does so within this time after the first
+/// event of the answer.
+inline constexpr absl::Duration ProofTime = absl::Milliseconds(500);
+
 class Relay : public AttemptOwner, public std::enable_shared_from_this<Relay> {
 public:
   Relay(std::shared_ptr<void> CoreOwner, RelayCore &Core, CallerRequest Request,
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -16,18 +16,6 @@
 
 namespace berylramp {
 
-namespace {
-
-/// A replica that ends under a prompt does so within this time after the first
-/// event of the answer.
-constexpr absl::Duration ProofTime = absl::Milliseconds(500);
-/// Time after the first event, and number of events, from which on the pace of
-/// a stream is evidence.
-constexpr absl::Duration EventsTime = absl::Seconds(1);
-constexpr int MinEvents = 3;
-
-} // namespace
-
 void Relay::onAttemptHead(Attempt &Source, const HttpHead &Head) {
   const HeaderNames &Names = this->Core.Settings.Names;
   Instant Now = this->now();
@@ -92,71 +80,6 @@
     Source.startTimeout(this->Core.Settings.StreamIdleTimeout);
 }
 
-void Relay::noteReplicaState(const Attempt &Source, const HttpHead &Head) {
-  const UpstreamId &Id = Source.TargetReplica->Entry.Id;
-  const std::string *Leaving =
-      findHeader(Head.Headers, this->Core.Settings.Names.ReplicaLeaving);
-  if (Leaving != nullptr && *Leaving == "1") {
-    this->Core.Pool.removeReplica(Id);
-    if (this->Core.Registry.markLeaving(Id, this->now()))
-      this->Core.Hooks.OnReplicaLeaving(*Source.TargetReplica);
-  }
-  this->noteReplicaLimit(Source, Head);
-  const std::string *RetryAfter = findHeader(Head.Headers, "Retry-After");
-  if (Head.Status != 503 || RetryAfter == nullptr)
-    return;
-  PauseRequest Pause = parsePause(*RetryAfter);
-  this->Core.Registry.pause(Id, this->now() + Pause.Length);
-  Json::Value Line(Json::objectValue);
-  Line["request"] = this->RequestId;
-  Line["replica"] = Id.text();
-  Line["pause_ms"] = absl::ToInt64Milliseconds(Pause.Length);
-  if (!Pause.Accepted)
-    Line["unusable_value"] = *RetryAfter;
-  logEvent(Pause.Accepted ? LogLevel::Info : LogLevel::Warn, "replica_paused",
-           Line);
-}
-
-void Relay::noteReplicaLimit(const Attempt &Source, const HttpHead &Head) {
-  ReplicaLimits &Limits = this->Core.Registry.limits();
-  const HeaderNames &Names = this->Core.Settings.Names;
-  const std::string *LimitText = findHeader(Head.Headers, Names.ReplicaLimit);
-  const std::string *BrittleText =
-      findHeader(Head.Headers, Names.ReplicaBrittle);
-  if (LimitText == nullptr && BrittleText == nullptr && Limits.empty())
-    return;
-  const Replica &Target = *Source.TargetReplica;
-  std::optional<double> Limit =
-      LimitText ? parseLimit(*LimitText) : std::nullopt;
-  std::optional<double> Rejections =
-      BrittleText ? parseLimit(*BrittleText) : std::nullopt;
-  const std::string *Unusable = LimitText != nullptr && !Limit ? LimitText
-                                : BrittleText != nullptr && !Rejections
-                                    ? BrittleText
-                                    : nullptr;
-  std::optional<NamedLimit> News;
-  if (Unusable == nullptr)
-    News = Limits.observe(processOf(Target), Limit, Rejections, Source.SentAt,
-                          this->now());
-  if (Unusable == nullptr && !News)
-    return;
-  Json::Value Line(Json::objectValue);
-  Line["request"] = this->RequestId;
-  Line["replica"] = Target.Entry.Id.text();
-  Line["source"] = "answer";
-  if (Unusable != nullptr)
-    Line["unusable_value"] = *Unusable;
-  if (Limit)
-    Line["per_second"] = *Limit;
-  if (Rejections)
-    Line["rejections"] = *Rejections;
-  if (News)
-    Line["sequence"] = Json::Int64(News->Sequence);
-  logEvent(Unusable ? LogLevel::Warn : LogLevel::Info, "replica_limit", Line);
-  if (News)
-    this->Core.Hooks.OnReplicaLimit(*News);
-}
-
 bool Relay::largerModelIsLate() {
   size_t CurrentIndex = this->ModelIndex;
   this->ModelIndex = nextModel(this->Cascade, CurrentIndex);
@@ -388,60 +311,6 @@
   this->startNextAttempt();
 }
 
-void Relay::noteInputCrash(const Attempt &Source) {
-  bool JustBegan =
-      Source.EventCount == 0 || this->now() - Source.FirstEventAt < ProofTime;
-  if (!JustBegan)
-    return;
-  this->RepeatsForbidden = !this->Core.Hooks.MayRepeatInput(this->Input);
-  this->Core.Paths->explainFailure(
-      Source.TargetReplica, this->now(),
-      [Owner = std::weak_ptr<void>(this->CoreOwner), &Core = this->Core,
-       Ended = Source.TargetReplica, Input = this->Input](FailureCause Cause) {
-        auto Guard = Owner.lock();
-        if (Guard && Cause == FailureCause::ReplicaEnded)
-          Core.Hooks.OnInputCrash(*Ended, Input);
-      });
-}
-
-void Relay::noteInputAnswered(Attempt &Source) {
-  if (Source.IsProof)
-    return;
-  Source.IsProof = true;
-  this->Core.Hooks.OnInputAnswered(this->Input, Source.SentAt);
-}
-
-void Relay::observeEvents(Attempt &Source, bool Ended) {
-  absl::Duration Time = this->now() - Source.FirstEventAt;
-  bool IsDue = Time >= EventsTime || Ended;
-  if (Source.EventsObserved || !IsDue || Source.EventCount < MinEvents)
-    return;
-  Source.EventsObserved = true;
-  this->observe(Source, AnswerEvent::Events);
-}
-
-AnswerObservation Relay::observationOf(Attempt &Source, AnswerEvent Event) {
-  AnswerObservation Observation;
-  Observation.Service = this->Service;
-  Observation.Version = Source.TargetReplica->Entry.Version;
-  Observation.Route = this->MatchedRoute->Name;
-  Observation.Event = Event;
-  Observation.Time = Event == AnswerEvent::Events
-                         ? (this->now() - Source.FirstEventAt) /
-                               std::max(1, Source.EventCount - 1)
-                         : this->now() - Source.SentAt;
-  Observation.Counted = Source.Observed;
-  Source.Observed = true;
-  return Observation;
-}
-
-void Relay::observe(Attempt &Source, AnswerEvent Event) {
-  if (Source.IsBad)
-    return;
-  Source.IsBad =
-      this->Core.Hooks.ObserveAnswer(this->observationOf(Source, Event));
-}
-
 void Relay::endAttempt(Outcome Result) {
   if (this->Current == nullptr)
     return;
--- a/src/exchange/relay_path.cpp
+++ b/src/exchange/relay_path.cpp
@@ -107,23 +107,4 @@
   return Result;
 }
 
-void Relay::observeMissing(Attempt &Source) {
-  if (Source.IsBad)
-    return;
-  this->Core.Paths->explainFailure(
-      Source.TargetReplica, Source.LastByteAt,
-      [Owner = std::weak_ptr<void>(this->CoreOwner), &Core = this->Core,
-       Target = Source.TargetReplica,
-       Observation = this->observationOf(Source, AnswerEvent::Failure)](
-          FailureCause Cause) {
-        auto Guard = Owner.lock();
-        bool PathInDoubt = Cause == FailureCause::OwnPath ||
-                           (Cause == FailureCause::Unknown && Guard &&
-                            Core.Paths->isLost(*Target));
-        if (Guard && !PathInDoubt)
-          Core.Hooks.ObserveAnswer(Observation);
-      });
-  Source.IsBad = true;
-}
-
 } // namespace berylramp
--- a/test/gossip_test.cpp
+++ b/test/gossip_test.cpp
@@ -24,16 +24,45 @@
 
 } // namespace
 
-TEST_CASE("A report of a leaving replica is told apart from others") {
-  LeavingReport Report{7, 12345};
-  std::string Datagram = encodeLeavingReport(Report);
-  LeavingReport Decoded;
-  REQUIRE(decodeLeavingReport(Datagram, Decoded));
-  CHECK(Decoded.Replica == 7);
-  CHECK(Decoded.StartedAtMs == 12345);
-  WorkReport Work;
-  CHECK_FALSE(decodeWorkReport(Datagram, Work));
-  CHECK_FALSE(decodeLeavingReport(encodeWorkReport({7, 80}), Decoded));
+TEST_CASE("Reports are decoded as what was encoded") {
+  auto Decode = [](const GossipReport &Report) {
+    std::optional<GossipReport> Decoded = decodeReport(encodeReport(Report));
+    REQUIRE(Decoded);
+    REQUIRE(Decoded->index() == Report.index());
+    return *Decoded;
+  };
+  auto Leaving = std::get<LeavingReport>(Decode(LeavingReport{7, 12345}));
+  CHECK(Leaving.Replica == 7);
+  CHECK(Leaving.StartedAtMs == 12345);
+  auto Full = std::get<FullReport>(Decode(FullReport{8, 12346}));
+  CHECK(Full.Replica == 8);
+  CHECK(Full.StartedAtMs == 12346);
+  auto Work = std::get<WorkReport>(Decode(WorkReport{9, 80}));
+  CHECK(Work.Replica == 9);
+  CHECK(Work.WorkMs == 80);
+  for (bool Ends : {true, false}) {
+    auto Input = std::get<InputReport>(Decode(InputReport{10, Ends}));
+    CHECK(Input.Input == 10);
+    CHECK(Input.EndsReplicas == Ends);
+  }
+  auto Crash = std::get<InputCrash>(Decode(InputCrash{11, {{1, 2, 3}, 12}}));
+  CHECK(Crash.Replica == 11);
+  CHECK(Crash.Input.Segments == std::vector<uint64_t>{1, 2, 3});
+  CHECK(Crash.Input.Identity == 12);
+  auto Limits = std::get<LimitReports>(
+      Decode(LimitReports{{13, 1, 2, 0.5, std::nullopt}, {14, 1, 3, {}, 4}}));
+  REQUIRE(Limits.size() == 2);
+  CHECK(Limits[0].PerSecond == 0.5);
+  CHECK(Limits[0].Rejections == std::nullopt);
+  CHECK(Limits[1].PerSecond == std::nullopt);
+  CHECK(Limits[1].Rejections == 4);
+}
+
+TEST_CASE("States of hosts and reports are told apart") {
+  PeerTable Peers(makeState(1));
+  PeerTable Other(makeState(2));
+  CHECK_FALSE(decodeReport(Peers.encode(atSecond(0))));
+  CHECK_FALSE(Other.merge(encodeReport(WorkReport{7, 80}), atSecond(0)));
 }
 
 TEST_CASE("A host's state spreads through other hosts") {
@@ -124,8 +153,7 @@
     PeerTable Peers(makeState(1));
     auto Bytes = *rc::gen::arbitrary<std::string>();
     Peers.merge(Bytes, atSecond(0));
-    WorkReport Report;
-    decodeWorkReport(Bytes, Report);
+    decodeReport(Bytes);
     RC_ASSERT(Peers.live(atSecond(0)).empty());
   });
 }
@@ -133,11 +161,10 @@
 TEST_CASE("A datagram that claims gigabytes is refused") {
   // Memory reserved for the claimed length could exhaust the host.
   PeerTable Peers(makeState(1));
-  WorkReport Report;
   for (const char *Header : {"\xdf", "\xdd", "\xdb", "\xc6", "\xc9"}) {
     std::string Bytes = Header + std::string("\xff\xff\xff\xff", 4);
     CHECK_FALSE(Peers.merge(Bytes, atSecond(0)));
-    CHECK_FALSE(decodeWorkReport(Bytes, Report));
+    CHECK_FALSE(decodeReport(Bytes));
   }
 }
 
@@ -148,15 +175,9 @@
     PeerTable B(makeState(2));
     CHECK_FALSE(B.merge(Datagram.substr(0, Size), atSecond(0)));
   }
-}
-
-TEST_CASE("A work report is decoded as encoded") {
-  WorkReport Decoded;
-  REQUIRE(decodeWorkReport(encodeWorkReport({42, 350}), Decoded));
-  CHECK(Decoded.Replica == 42);
-  CHECK(Decoded.WorkMs == 350);
-  PeerTable A(makeState(1));
-  CHECK_FALSE(decodeWorkReport(A.encode(atSecond(0)), Decoded));
+  std::string Report = encodeReport(WorkReport{42, 350});
+  for (size_t Size = 0; Size < Report.size(); ++Size)
+    CHECK_FALSE(decodeReport(Report.substr(0, Size)));
 }
 
 TEST_CASE("A silent host stays among the targets") {
--- a/test/limits_fleet_test.cpp
+++ b/test/limits_fleet_test.cpp
@@ -282,11 +282,11 @@
 
 TEST_CASE("Reports of a limit that were overtaken are ignored") {
   ReplicaLimits Limits;
-  CHECK(Limits.merge({77, 1, 2, std::nullopt}, at(1)));
-  CHECK_FALSE(Limits.merge({77, 1, 1, 3.0}, at(2)));
-  CHECK_FALSE(Limits.merge({77, 1, 2, std::nullopt}, at(2)));
-  CHECK(Limits.merge({77, 1, 2, 5.0}, at(3)));
-  CHECK_FALSE(Limits.merge({77, 1, 2, 6.0}, at(3)));
+  CHECK(Limits.merge({77, 1, 2, std::nullopt, std::nullopt}, at(1)));
+  CHECK_FALSE(Limits.merge({77, 1, 1, 3.0, std::nullopt}, at(2)));
+  CHECK_FALSE(Limits.merge({77, 1, 2, std::nullopt, std::nullopt}, at(2)));
+  CHECK(Limits.merge({77, 1, 2, 5.0, std::nullopt}, at(3)));
+  CHECK_FALSE(Limits.merge({77, 1, 2, 6.0, std::nullopt}, at(3)));
   CHECK(Limits.limitOf(Limited) == 5);
 }
 
--- a/test/partition_fixture.cpp
+++ b/test/partition_fixture.cpp
@@ -8,9 +8,6 @@
 
 namespace berylramp {
 
-using standin::FaultMode;
-using standin::NewConnections;
-
 PartitionFixture::PartitionFixture(size_t HostCount) : Hosts(HostCount) {
   this->putTable(1, {"key-1"});
   this->putReplicas();
@@ -30,8 +27,8 @@
     Added.Config.Bounds.RetrySlack = 400;
     for (const auto &Group : {this->Engines, this->PlainReplicas})
       for (const auto &Target : Group) {
-        auto Path = std::make_shared<standin::Proxy>(this->Loop, this->Timer,
-                                                     Target->address());
+        auto Path =
+            std::make_shared<Proxy>(this->Loop, this->Timer, Target->address());
         Path->listen();
         Added.Paths[Target->id()] = Path;
       }
--- a/test/partition_fixture.h
+++ b/test/partition_fixture.h
@@ -29,7 +29,7 @@
 struct PartitionFixture : EdgeFixture {
   struct Host {
     HostConfig Config;
-    std::map<std::string, std::shared_ptr<standin::Proxy>> Paths;
+    std::map<std::string, std::shared_ptr<Proxy>> Paths;
     std::unique_ptr<LoopTimer> Timer;
     std::unique_ptr<EdgeDaemon> Daemon;
   };
--- a/test/path_controller_test.cpp
+++ b/test/path_controller_test.cpp
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 
 using namespace berylramp;
-using standin::NewConnections;
 
 namespace {
 
@@ -19,8 +18,8 @@
         : Paths(std::make_shared<PathController>(Owner.Loop, Owner.Timer,
                                                  this->Registry)) {
       for (const auto &Target : Owner.Replicas) {
-        auto Path = std::make_shared<standin::Proxy>(Owner.Loop, Owner.Timer,
-                                                     Target->address());
+        auto Path =
+            std::make_shared<Proxy>(Owner.Loop, Owner.Timer, Target->address());
         Path->listen();
         this->Proxies.push_back(Path);
         ReplicaEntry Entry;
@@ -39,7 +38,7 @@
     }
 
     UpstreamRegistry Registry{ChoiceSettings()};
-    std::vector<std::shared_ptr<standin::Proxy>> Proxies;
+    std::vector<std::shared_ptr<Proxy>> Proxies;
     std::shared_ptr<PathController> Paths;
   };
 
--- a/test/soak/environment.cpp
+++ b/test/soak/environment.cpp
@@ -46,8 +46,8 @@
   for (int Index = 0; Index < HostCount; ++Index) {
     Host NewHost;
     NewHost.Ip = absl::StrCat("127.0.0.", Index + 1);
-    NewHost.StoreProxy = std::make_shared<standin::Proxy>(
-        this->Loop, this->Timer, this->Store.address());
+    NewHost.StoreProxy =
+        std::make_shared<Proxy>(this->Loop, this->Timer, this->Store.address());
     NewHost.StoreProxy->listen();
     NewHost.SettingsPath = absl::StrCat(this->Folder, "/host-", Index, ".json");
     NewHost.ValidSettings = standin::sampleSettings(
@@ -83,8 +83,8 @@
       Service, "zone-a");
   if (!NewReplica.Stub->listen().ok())
     std::abort();
-  NewReplica.ReplicaProxy = std::make_shared<standin::Proxy>(
-      this->Loop, this->Timer, NewReplica.Stub->address());
+  NewReplica.ReplicaProxy = std::make_shared<Proxy>(this->Loop, this->Timer,
+                                                    NewReplica.Stub->address());
   NewReplica.ReplicaProxy->listen();
   NewReplica.Stub->AdvertisedAddress = NewReplica.ReplicaProxy->address();
   NewReplica.Stub->ProcessingTime = absl::Milliseconds(10);
@@ -175,8 +175,7 @@
     kill(Target.Pid, SIGHUP);
     break;
   case 4:
-    Target.StoreProxy->Mode =
-        static_cast<standin::FaultMode>(this->randomBelow(5));
+    Target.StoreProxy->Mode = static_cast<FaultMode>(this->randomBelow(5));
     break;
   case 5:
     Target.StoreProxy->resetAll();
@@ -191,7 +190,7 @@
     break;
   case 8:
     FaultyReplica.ReplicaProxy->Mode =
-        static_cast<standin::FaultMode>(this->randomBelow(5));
+        static_cast<FaultMode>(this->randomBelow(5));
     break;
   case 9:
     FaultyReplica.ReplicaProxy->resetAll();
@@ -211,10 +210,10 @@
   TestReplica &HealthyReplica =
       this->Replicas[static_cast<size_t>(this->randomBelow(6))];
   HealthyReplica.Stub->Behavior = standin::ReplicaBehavior::Answers;
-  HealthyReplica.ReplicaProxy->Mode = standin::FaultMode::None;
+  HealthyReplica.ReplicaProxy->Mode = FaultMode::None;
   if (this->randomBelow(3) == 0)
     this->Store.Behavior = standin::StoreBehavior::Serves;
-  this->randomHost().StoreProxy->Mode = standin::FaultMode::None;
+  this->randomHost().StoreProxy->Mode = FaultMode::None;
 }
 
 void Environment::clearFaults() {
@@ -223,10 +222,10 @@
     Replica.Stub->Behavior = standin::ReplicaBehavior::Answers;
     Replica.Stub->EventsBeforeCut = 0;
     Replica.Stub->Confidence = 90;
-    Replica.ReplicaProxy->Mode = standin::FaultMode::None;
+    Replica.ReplicaProxy->Mode = FaultMode::None;
   }
   for (Host &Daemon : this->Hosts)
-    Daemon.StoreProxy->Mode = standin::FaultMode::None;
+    Daemon.StoreProxy->Mode = FaultMode::None;
 }
 
 void Environment::drain(TestReplica &Target) {
--- a/test/soak/environment.h
+++ b/test/soak/environment.h
@@ -23,7 +23,7 @@
   /// Contents of the settings file while it is valid.
   std::string ValidSettings;
   std::string Ip;
-  std::shared_ptr<standin::Proxy> StoreProxy;
+  std::shared_ptr<Proxy> StoreProxy;
   pid_t Pid = 0;
   bool Paused = false;
   bool Stopping = false;
@@ -33,7 +33,7 @@
 /// One stand-in replica and the state that the operators give it.
 struct TestReplica {
   std::shared_ptr<standin::Replica> Stub;
-  std::shared_ptr<standin::Proxy> ReplicaProxy;
+  std::shared_ptr<Proxy> ReplicaProxy;
   std::string Version = "v1";
   bool Draining = false;
   /// Start and end of each drain: from the write of the "draining" record to
--- a/test/support/proxy.cpp
+++ b/test/support/proxy.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
-namespace berylramp::standin {
+namespace berylramp {
 
 namespace {
 using boost::asio::ip::tcp;
@@ -157,4 +157,4 @@
     Open->reset();
 }
 
-} // namespace berylramp::standin
+} // namespace berylramp
--- a/test/support/proxy.h
+++ b/test/support/proxy.h
@@ -1,14 +1,14 @@
 //===- proxy.h - A fault-injecting loopback proxy ---------------*- C++ -*-===//
 
-#ifndef BERYLRAMP_PLATFORM_STANDIN_PROXY_H
-#define BERYLRAMP_PLATFORM_STANDIN_PROXY_H
+#ifndef BERYLRAMP_TEST_SUPPORT_PROXY_H
+#define BERYLRAMP_TEST_SUPPORT_PROXY_H
 
 #include "berylramp/exchange.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <set>
 #include <vector>
 
-namespace berylramp::standin {
+namespace berylramp {
 
 /// How the proxy treats the bytes of its connections. The Drop modes discard
 /// them in both directions or in one.
@@ -47,6 +47,6 @@
   std::set<std::shared_ptr<Connection>> Connections;
 };
 
-} // namespace berylramp::standin
+} // namespace berylramp
 
-#endif // BERYLRAMP_PLATFORM_STANDIN_PROXY_H
+#endif // BERYLRAMP_TEST_SUPPORT_PROXY_H
