Declare the interfaces that the parts for hard load share

Regions get a type of their own. A load report carries how long work takes now; its weight by age is a function of its own, which returns the report unweighted until it is written.

--- a/include/berylramp/units.h
+++ b/include/berylramp/units.h
@@ -76,6 +76,7 @@
 
 using HostId = Id<struct HostTag>;
 using PlaceId = Id<struct PlaceTag>;
+using RegionId = Id<struct RegionTag>;
 using WorkspaceId = Id<struct WorkspaceTag>;
 using ModelId = Id<struct ModelTag>;
 using VersionId = Id<struct VersionTag>;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -51,9 +51,15 @@
   int Running = 0;
   int Waiting = 0;
   int Slots = 0;
+  /// How long work takes now, as a multiple of the usual time.
+  double WorkTime = 1;
   Instant At;
 };
 
+/// The multiple of the usual time that work is expected to take at \p Now where
+/// \p Load was reported.
+double expectedWorkTime(const ReportedLoad &Load, Instant Now);
+
 /// One segment of a prompt. Requests with the same segment share its text.
 struct PromptSegment {
   uint64_t Id = 0;
--- a/src/upstreams/estimators.cpp
+++ b/src/upstreams/estimators.cpp
@@ -55,6 +55,10 @@
   this->Rate *= 1 + std::min(Size, MaxRateStep) * Step;
 }
 
+double expectedWorkTime(const ReportedLoad &Load, Instant Now) {
+  return Load.WorkTime;
+}
+
 double effectiveTokens(int64_t Tokens) {
   auto Count = static_cast<double>(Tokens);
   return Count * (1 + Count / AttentionParityTokens);
