--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -51,9 +51,9 @@
   int Running = 0;
   int Waiting = 0;
   int Slots = 0;
+  Instant At;
   /// How long work takes now, as a multiple of the usual time.
   double WorkTime = 1;
-  Instant At;
 };
 
 /// The multiple of the usual time that work is expected to take at \p Now where
