Bound the bytes that a host holds for others

One account counts all of it against a share of the host's memory. Above three quarters of it the readers with the largest lag end, streams between two events; above all of it new bodies are refused unrun. The kernel keeps 16 KB a connection, so that the rest is seen.

Among plain replicas of equal cost the one with fewer held bytes is chosen.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -14,6 +14,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "berylramp/cascade.h"
+#include "berylramp/memory_account.h"
 #include "berylramp/observe.h"
 #include "berylramp/paths.h"
 #include "berylramp/quarantine.h"
@@ -47,6 +48,8 @@
   std::vector<HeaderField> Headers;
   std::string Body;
   Instant ArrivedAt;
+  /// The body was not received, because the host holds too many bytes.
+  bool BodyRefused = false;
 };
 
 /// Status line and header of an answer.
@@ -60,6 +63,8 @@
 class Responder {
 public:
   virtual ~Responder() = default;
+  /// States whose bytes the connection holds.
+  virtual void identify(uint64_t Owner, const std::string &RequestId) {}
   /// Sends a complete answer and closes the connection afterwards if
   /// \p CloseAfter is set.
   virtual void sendWhole(const HttpHead &Head, const std::string &Body,
@@ -107,13 +112,17 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
+class HeldMemory;
+
 /// Accepts connections on one address and passes complete requests to a
 /// handler.
 class HttpListener {
 public:
-  /// \p Limits is evaluated again for each request.
+  /// \p Limits is evaluated again for each request. Without \p Memory, the
+  /// bytes of all connections together are not bounded.
   HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
-               std::function<CallerLimits()> Limits, RequestHandler Handler);
+               std::function<CallerLimits()> Limits, RequestHandler Handler,
+               std::shared_ptr<HeldMemory> Memory = nullptr);
   // NOLINTNEXTLINE(bugprone-exception-escape)
   ~HttpListener();
 
@@ -224,10 +233,10 @@
   absl::Duration StreamIdleTimeout = absl::Milliseconds(6000);
   /// Maximum idle time after which a connection is still reused.
   absl::Duration MaxIdleTime = absl::Seconds(3);
-  /// Maximum bytes of one complete answer, and of all complete answers that are
-  /// being received. A longer answer is cut.
+  /// Maximum bytes of one complete answer. A longer answer is cut.
   size_t MaxAnswerBytes = 2U << 20;
-  size_t MaxBufferedBytes = 32U << 20;
+  /// Limits of the bytes that are held for callers, replicas and other hosts.
+  MemoryBounds Memory;
   /// Maximum bytes of one event of a stream.
   size_t MaxEventBytes = 256U << 10;
   /// Ratio of requests to slots above which new requests are refused.
@@ -321,6 +330,9 @@
   void setRetrySlack(double Slack);
   /// Number of requests in progress.
   size_t activeRequests() const;
+  /// Counts the bytes that this exchange and its listeners hold.
+  std::shared_ptr<HeldMemory> heldMemory() const;
+  const MemoryAccount &memoryAccount() const;
   /// Aborts all requests in progress; streams are cut between two events.
   void abortAll();
   /// Closes connections that have exceeded the maximum idle time.
--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -72,10 +72,12 @@
   RatingsReceived,
   HoldsTripped,
   ReplicaEjections,
-  PaidLinkBytes
+  PaidLinkBytes,
+  SlowReadersEnded,
+  BodiesRefused
 };
 inline constexpr int CounterCount =
-    static_cast<int>(Counter::PaidLinkBytes) + 1;
+    static_cast<int>(Counter::BodiesRefused) + 1;
 
 /// Latency histograms, in seconds.
 enum class Latency {
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -128,6 +128,8 @@
   uint64_t IdHash = 0;
   /// Requests of this host in progress.
   int InFlight = 0;
+  /// Bytes of the bodies of these requests.
+  int64_t HeldBytes = 0;
   ReportedLoad Load;
   /// Requests that this host sent after the last load report.
   int SentSinceReport = 0;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -157,6 +157,16 @@
                     static_cast<double>(this->Shared->Registry.size())});
   Gauges.push_back({"berylramp_peers_known",
                     static_cast<double>(this->Shared->Peers.size())});
+  const MemoryAccount &Held = this->Shared->Relayer->memoryAccount();
+  for (int Index = 0; Index < HeldKindCount; ++Index) {
+    auto Kind = static_cast<HeldKind>(Index);
+    Gauges.push_back(
+        {absl::StrCat("held_bytes{kind=\"", heldKindName(Kind), "\"}"),
+         static_cast<double>(Held.of(Kind))});
+  }
+  Gauges.push_back({"held_bytes_peak", static_cast<double>(Held.peak())});
+  Gauges.push_back(
+      {"held_bytes_bound", static_cast<double>(Held.bounds().Total)});
   RouteTablePtr Table = this->Shared->Table;
   Gauges.push_back({"berylramp_table_version",
                     Table ? static_cast<double>(Table->Version.count()) : -1});
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -17,10 +17,8 @@
 /// the cost of the datagrams.
 constexpr absl::Duration MinReportedWork = absl::Milliseconds(80);
 
-/// Fractions of the host's memory that one complete answer, and all complete
-/// answers that are being received, may take.
+/// Fraction of the host's memory that one complete answer may take.
 constexpr double MaxAnswerFraction = 1.0 / 64;
-constexpr double MaxBufferedFraction = 1.0 / 4;
 
 /// Interval of the reads of replica entries as a fraction of the drain timeout.
 /// The rest covers the transfer to the other hosts and one failed read.
@@ -59,7 +57,7 @@
   Result.StreamIdleTimeout = this->Settings.StreamIdleTimeout;
   auto Memory = static_cast<double>(this->Config.MemoryBytes);
   Result.MaxAnswerBytes = static_cast<size_t>(Memory * MaxAnswerFraction);
-  Result.MaxBufferedBytes = static_cast<size_t>(Memory * MaxBufferedFraction);
+  Result.Memory = memoryBounds(this->Config.MemoryBytes);
   return Result;
 }
 
@@ -147,7 +145,7 @@
   return std::make_unique<HttpListener>(
       this->Loop, this->Timer,
       [this] { return this->Table ? this->Table->Limits : CallerLimits(); },
-      std::move(Handler));
+      std::move(Handler), this->Relayer->heldMemory());
 }
 
 absl::Status EdgeDaemon::State::start() {
--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -29,13 +29,16 @@
                 public std::enable_shared_from_this<Attempt> {
 public:
   Attempt(std::weak_ptr<AttemptOwner> Owner, ReplicaPtr TargetReplica,
-          boost::asio::io_context &Loop)
+          boost::asio::io_context &Loop, const HeldMemoryPtr &Memory)
       : TargetReplica(std::move(TargetReplica)), Owner(std::move(Owner)),
-        TimeoutTimer(Loop) {}
+        TimeoutTimer(Loop), Held(Memory, HeldKind::Answer) {}
 
-  ~Attempt() override {
-    if (this->BufferedBytes != nullptr)
-      *this->BufferedBytes -= this->Body.size();
+  ~Attempt() override { this->setReplicaBytes(0); }
+
+  /// States how many bytes of this request the replica holds.
+  void setReplicaBytes(int64_t Bytes) {
+    this->TargetReplica->HeldBytes += Bytes - this->ReplicaBytes;
+    this->ReplicaBytes = Bytes;
   }
 
   void onConnected() override {
@@ -63,10 +66,11 @@
       return;
     this->Fault = NewFault;
     bool Sent = mayHaveArrived(NewFault);
-    RetryReason Reason = !Sent ? RetryReason::ConnectFailed
-                         : this->FirstByteReceived
-                             ? RetryReason::CutMidStream
-                             : RetryReason::CutBeforeFirstByte;
+    RetryReason Reason =
+        !Sent                                    ? RetryReason::ConnectFailed
+        : NewFault == ConnectionFault::Abandoned ? RetryReason::LateAnswer
+        : this->FirstByteReceived                ? RetryReason::CutMidStream
+                                  : RetryReason::CutBeforeFirstByte;
     LockedOwner->onAttemptFailed(*this, Reason, Outcome::ConnectionFailed,
                                  Sent);
   }
@@ -128,10 +132,11 @@
   bool Observed = false;
   bool IsBad = false;
   HttpHead Head;
-  /// The body received so far; the counter of all such bytes is lowered when
-  /// the attempt ends.
+  /// The body received so far.
   std::string Body;
-  size_t *BufferedBytes = nullptr;
+  /// The body, or the part of an event that is incomplete.
+  HeldBytes Held;
+  int64_t ReplicaBytes = 0;
   EventSplitter Splitter;
 };
 
--- a/src/exchange/channel.cpp
+++ b/src/exchange/channel.cpp
@@ -64,6 +64,7 @@
   this->Socket.non_blocking(true, Ignored);
   this->Socket.set_option(tcp::no_delay(true), Ignored);
   int Descriptor = this->Socket.native_handle();
+  setOption(Descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, MaxKernelUnsentBytes);
   setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE,
             static_cast<int>(absl::ToInt64Seconds(KeepAliveIdle)));
@@ -74,6 +75,21 @@
             static_cast<int>(absl::ToInt64Milliseconds(UserTimeout)));
 }
 
+HeldBytes &Channel::countUnsent(const HeldMemoryPtr &Memory, HeldKind Kind) {
+  this->Held = std::make_unique<HeldBytes>(Memory, Kind);
+  return *this->Held;
+}
+
+void Channel::updateHeld() {
+  if (this->Held == nullptr)
+    return;
+  size_t Count =
+      this->UnsentBytes == 0
+          ? 0
+          : this->UnsentBytes + this->FrontOffset + MaxKernelUnsentBytes;
+  this->Held->set(static_cast<int64_t>(Count));
+}
+
 void Channel::startAccepted() {
   this->configureSocket();
   this->Open = true;
@@ -98,6 +114,7 @@
     if (Receiver)
       Receiver->onConnected(ConnectResult::Connected);
     Self->flush();
+    Self->updateHeld();
     Self->waitReadable();
   };
   if (Error) {
@@ -117,13 +134,17 @@
   this->Queue.push_back(std::move(Bytes));
   if (this->Open && !this->Writing)
     this->flush();
+  this->updateHeld();
 }
 
 void Channel::flush() {
   while (this->Open && !this->Queue.empty()) {
-    std::string &Front = this->Queue.front();
+    const std::string &Front = this->Queue.front();
     ErrorCode Error;
-    size_t Written = this->Socket.write_some(boost::asio::buffer(Front), Error);
+    size_t Written = this->Socket.write_some(
+        boost::asio::buffer(Front.data() + this->FrontOffset,
+                            Front.size() - this->FrontOffset),
+        Error);
     this->Sent = this->Sent || Written > 0;
     this->UnsentBytes -= Written;
     if (Error == boost::asio::error::would_block) {
@@ -135,6 +156,7 @@
             if (Failure)
               return;
             Self->flush();
+            Self->updateHeld();
             auto Receiver = Self->Listener.lock();
             if (Receiver && Self->Open && Self->Queue.empty())
               Receiver->onDrained();
@@ -145,10 +167,11 @@
       this->fail(false);
       return;
     }
-    if (Written == Front.size())
+    this->FrontOffset += Written;
+    if (this->FrontOffset == Front.size()) {
       this->Queue.pop_front();
-    else
-      Front.erase(0, Written);
+      this->FrontOffset = 0;
+    }
   }
   if (this->Open && this->CloseWhenFlushed && this->Queue.empty())
     this->close();
@@ -201,6 +224,21 @@
     this->close();
 }
 
+void Channel::closeAfterMessage() {
+  size_t Rest = this->FrontOffset == 0
+                    ? 0
+                    : this->Queue.front().size() - this->FrontOffset;
+  if (Rest > MaxKernelUnsentBytes) {
+    this->reset();
+    return;
+  }
+  this->Queue.resize(Rest > 0 ? 1 : 0);
+  this->UnsentBytes = Rest;
+  this->updateHeld();
+  this->pauseReading();
+  this->closeAfterSending();
+}
+
 void Channel::fail(bool Orderly) {
   auto Self = this->shared_from_this();
   this->close();
@@ -214,6 +252,8 @@
   this->Socket.close(Ignored);
   this->Queue.clear();
   this->UnsentBytes = 0;
+  this->FrontOffset = 0;
+  this->updateHeld();
 }
 
 void Channel::reset() {
--- a/src/exchange/channel.h
+++ b/src/exchange/channel.h
@@ -13,6 +13,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "berylramp/units.h"
+#include "held_memory.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <memory>
@@ -30,6 +31,10 @@
 /// connection.
 inline constexpr absl::Duration UserTimeout = absl::Milliseconds(3500);
 
+/// Bytes that the kernel takes beyond those that the peer's window allows. What
+/// a slow reader leaves is thus counted here instead of in the kernel.
+inline constexpr int MaxKernelUnsentBytes = 16 << 10;
+
 /// Result of opening a connection.
 enum class ConnectResult {
   Connected,
@@ -66,6 +71,9 @@
   void setListener(std::weak_ptr<ChannelListener> NewListener) {
     this->Listener = std::move(NewListener);
   }
+  /// Counts unsent bytes as \p Kind; the result states whose they are and how
+  /// the reader ends.
+  HeldBytes &countUnsent(const HeldMemoryPtr &Memory, HeldKind Kind);
   /// Configures an accepted socket and starts reading.
   void startAccepted();
   void connect(const Endpoint &Remote);
@@ -75,6 +83,9 @@
   void resumeReading();
   /// Closes once all queued bytes are sent.
   void closeAfterSending();
+  /// Drops the messages that are not begun and closes once the begun one is
+  /// sent; resets the connection instead if much of that is unsent.
+  void closeAfterMessage();
   /// Closes immediately. Unread or unsent bytes turn the close into a reset.
   void close();
   /// Closes immediately with a reset, so that the peer cannot mistake truncated
@@ -93,12 +104,16 @@
   void waitReadable();
   void readSome();
   void flush();
+  void updateHeld();
   void fail(bool Orderly);
 
   boost::asio::ip::tcp::socket Socket;
   std::weak_ptr<ChannelListener> Listener;
   std::deque<std::string> Queue;
   size_t UnsentBytes = 0;
+  /// Sent bytes of the first message in the queue.
+  size_t FrontOffset = 0;
+  std::unique_ptr<HeldBytes> Held;
   bool Open = false;
   bool Sent = false;
   bool Paused = false;
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "held_memory.h"
 #include "path_controller.h"
 #include "upstream_connection.h"
 #include <map>
@@ -19,6 +20,8 @@
       : Loop(Loop), Timer(Timer), Counters(Counters), Registry(Registry),
         Settings(std::move(Settings)), Hooks(std::move(Hooks)),
         Pool(this->Settings.MaxIdleTime),
+        Memory(std::make_shared<HeldMemory>(Loop, Timer, Counters,
+                                            this->Settings.Memory)),
         Paths(std::make_shared<PathController>(Loop, Timer, Registry)) {
     this->Paths->ChoosePeer = this->Hooks.ChoosePeer;
     this->Paths->OnLost = [this](bool Hangs) { this->onPathLost(Hangs); };
@@ -43,13 +46,12 @@
   ExchangeSettings Settings;
   ExchangeHooks Hooks;
   UpstreamPool Pool;
+  HeldMemoryPtr Memory;
   std::shared_ptr<PathController> Paths;
   std::map<ServiceId, RetryBudget> Budgets;
   /// By service and model.
   std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
   std::unordered_set<std::shared_ptr<Relay>> Active;
-  /// Bytes of complete answers that are being received.
-  size_t BufferedBytes = 0;
 };
 
 } // namespace berylramp
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -42,6 +42,7 @@
     if (auto Paths = Weak.lock())
       Paths->explainRefusal(Target, Done);
   };
+  Server.Memory = this->Shared->Memory;
   this->Tunnels =
       std::make_unique<TunnelServer>(Loop, Timer, std::move(Server));
 }
@@ -65,6 +66,12 @@
 
 size_t Exchange::activeRequests() const { return this->Shared->Active.size(); }
 
+HeldMemoryPtr Exchange::heldMemory() const { return this->Shared->Memory; }
+
+const MemoryAccount &Exchange::memoryAccount() const {
+  return this->Shared->Memory->account();
+}
+
 void Exchange::abortAll() {
   auto Relays = this->Shared->Active;
   for (const std::shared_ptr<Relay> &ActiveRelay : Relays)
--- a/src/exchange/http_parse.cpp
+++ b/src/exchange/http_parse.cpp
@@ -134,6 +134,15 @@
   return boost::beast::iequals(Message[http::field::expect], "100-continue");
 }
 
+size_t RequestParser::bodyBytes() const {
+  return this->Parser->Reader.get().body().size();
+}
+
+size_t RequestParser::announcedBytes() const {
+  auto Length = this->Parser->Reader.content_length();
+  return Length ? static_cast<size_t>(*Length) : 0;
+}
+
 CallerRequest RequestParser::releaseRequest() {
   auto &Message = this->Parser->Reader.get();
   CallerRequest Result;
--- a/src/exchange/http_parse.h
+++ b/src/exchange/http_parse.h
@@ -28,6 +28,10 @@
   bool done() const;
   bool keepAlive() const;
   bool wantsContinue() const;
+  /// Bytes of the body that were received, and that the header announces; 0
+  /// when it announces none.
+  size_t bodyBytes() const;
+  size_t announcedBytes() const;
   CallerRequest releaseRequest();
 
 private:
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -10,6 +10,7 @@
 #include "http_parse.h"
 
 #include "absl/strings/str_cat.h"
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <unordered_set>
@@ -22,8 +23,11 @@
 
 /// Bytes of pipelined requests to buffer while a request is in progress.
 constexpr size_t MaxBufferedBytes = 65536;
-/// Unsent bytes of a stream above which a slow caller is disconnected.
-constexpr size_t MaxUnsentBytes = 256U << 10;
+/// Time for which the rest of a refused body is received and dropped, so that
+/// the caller reads the refusal.
+constexpr absl::Duration DiscardTime = absl::Seconds(2);
+/// A body is held twice while it is sent to a replica.
+constexpr int64_t BodyCopies = 2;
 /// Connections that may wait to be accepted; sized for the burst of reconnects
 /// after another host has failed.
 constexpr int AcceptBacklog = 1024;
@@ -73,6 +77,7 @@
   TimerService &Timer;
   std::function<CallerLimits()> Limits;
   RequestHandler Handler;
+  HeldMemoryPtr Memory;
   bool Draining = false;
   std::unordered_set<std::shared_ptr<ChannelListener>> Connections;
 };
@@ -89,15 +94,23 @@
     std::function<bool()> Draining;
     std::function<void(std::shared_ptr<ChannelListener>)> RemoveConnection;
     RequestHandler Handler;
+    HeldMemoryPtr Memory;
     TimerService *Timer = nullptr;
   };
 
   CallerConnection(boost::asio::io_context &Loop, tcp::socket Socket,
                    ListenerHooks Hooks)
       : Loop(Loop), Transport(std::make_shared<Channel>(std::move(Socket))),
-        TimeoutTimer(Loop), Hooks(std::move(Hooks)) {}
+        TimeoutTimer(Loop), Hooks(std::move(Hooks)),
+        Output(this->Transport->countUnsent(this->Hooks.Memory,
+                                            HeldKind::CallerOutput)),
+        Input(this->Hooks.Memory, HeldKind::CallerInput) {}
 
   void start() {
+    this->Output.setEnd([Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->endSlowReader();
+    });
     this->Transport->setListener(this->weak_from_this());
     this->awaitRequest();
     this->Transport->startAccepted();
@@ -115,11 +128,19 @@
            this->Transport->hasUnread();
   }
 
+  void identify(uint64_t Owner, const std::string &RequestId) override {
+    this->Output.identify(Owner, RequestId);
+    this->Input.identify(Owner, RequestId);
+  }
+
   void onBytes(absl::string_view Bytes) override {
+    if (this->Discards)
+      return;
     this->Buffer.append(Bytes.data(), Bytes.size());
     if (this->RequestActive) {
-      if (this->Buffer.size() > MaxBufferedBytes)
+      if (this->Buffer.size() > MaxBufferedBytes || !this->admits(0))
         this->Transport->pauseReading();
+      this->updateInput();
       return;
     }
     this->parse();
@@ -141,6 +162,7 @@
     appendFields(Message, Fields);
     if (statusAllowsBody(Head.Status) && !this->HeadOnly)
       Message += Body;
+    this->IsStream = false;
     this->Transport->send(std::move(Message));
     this->finish(Close);
   }
@@ -155,6 +177,7 @@
     if (this->CloseAfterStream)
       Fields.emplace_back("Connection", "close");
     appendFields(Message, Fields);
+    this->IsStream = true;
     this->Transport->send(std::move(Message));
   }
 
@@ -163,10 +186,8 @@
       return;
     this->Transport->send(
         absl::StrCat(absl::Hex(Chunk.size()), "\r\n", Chunk, "\r\n"));
-    if (this->Transport->unsentBytes() > MaxUnsentBytes) {
-      this->Transport->reset();
-      this->onDisconnected();
-    }
+    if (this->Transport->unsentBytes() > this->maxUnsentBytes())
+      this->Output.end();
   }
 
   void endStream() override {
@@ -198,12 +219,53 @@
     return Requested || !this->KeepAlive || this->Hooks.Draining();
   }
 
+  bool admits(size_t Bytes) const {
+    const HeldMemoryPtr &Memory = this->Hooks.Memory;
+    return Memory == nullptr ||
+           Memory->account().admits(static_cast<int64_t>(Bytes) * BodyCopies);
+  }
+
+  size_t maxUnsentBytes() const {
+    const HeldMemoryPtr &Memory = this->Hooks.Memory;
+    MemoryBounds Bounds =
+        Memory == nullptr ? MemoryBounds() : Memory->account().bounds();
+    return static_cast<size_t>(Bounds.PerReader);
+  }
+
+  void updateInput() {
+    size_t Count = this->Buffer.size() + this->ActiveBodyBytes;
+    if (this->Parser != nullptr && this->Parser->headDone())
+      Count += this->Parser->bodyBytes();
+    this->Input.set(static_cast<int64_t>(Count));
+  }
+
+  // A stream ends between two events, so that the caller can resume it.
+  void endSlowReader() {
+    if (this->IsStream)
+      this->Transport->closeAfterMessage();
+    else
+      this->Transport->reset();
+    this->onDisconnected();
+  }
+
+  /// Answers a request whose body is not received.
+  void refuseBody() {
+    this->Discards = true;
+    CallerRequest Request = this->Parser->releaseRequest();
+    Request.BodyRefused = true;
+    Request.Body = std::string();
+    this->Buffer = std::string();
+    this->startRequest(std::move(Request), /*MayKeepAlive=*/false);
+  }
+
   void awaitRequest() {
     this->RequestActive = false;
     this->DisconnectHandler = nullptr;
     this->Limits = this->Hooks.Limits();
     this->Parser = std::make_unique<RequestParser>(this->Limits);
     this->ContinueHandled = false;
+    this->ActiveBodyBytes = 0;
+    this->updateInput();
     this->startTimeout(this->Limits.IdleTimeout);
   }
 
@@ -214,10 +276,29 @@
       this->rejectMalformed(Fault);
       return;
     }
+    bool HasBody = this->Parser->headDone() &&
+                   (!this->Parser->done() || this->Parser->bodyBytes() > 0);
+    size_t Missing = 0;
+    if (HasBody && !this->ContinueHandled)
+      Missing =
+          std::max(this->Parser->announcedBytes(), this->Parser->bodyBytes()) -
+          this->Parser->bodyBytes();
+    if (HasBody && !this->admits(Missing)) {
+      this->refuseBody();
+      return;
+    }
     if (this->Parser->done()) {
-      this->dispatch();
+      this->startRequest(this->Parser->releaseRequest(),
+                         this->Parser->keepAlive());
       return;
     }
+    this->updateInput();
+    if (HasBody && !this->ContinueHandled)
+      this->Input.setEnd([Weak = this->weak_from_this()] {
+        auto Self = Weak.lock();
+        if (Self && !Self->RequestActive && Self->Parser != nullptr)
+          Self->refuseBody();
+      });
     if (!HadStarted && !(this->Buffer.empty() && !this->Parser->hasStarted()))
       this->startTimeout(this->Limits.HeaderTimeout);
     if (this->Parser->headDone()) {
@@ -228,12 +309,14 @@
     }
   }
 
-  void dispatch() {
+  void startRequest(CallerRequest Request, bool MayKeepAlive) {
     this->RequestActive = true;
     this->TimeoutTimer.cancel();
-    this->KeepAlive = this->Parser->keepAlive();
-    CallerRequest Request = this->Parser->releaseRequest();
+    this->KeepAlive = MayKeepAlive;
     this->Parser.reset();
+    this->Input.setEnd(nullptr);
+    this->ActiveBodyBytes = Request.Body.size();
+    this->updateInput();
     Request.ArrivedAt = this->Hooks.Timer->now();
     this->HeadOnly = Request.Method == "HEAD";
     RequestHandler Handler = this->Hooks.Handler;
@@ -253,6 +336,10 @@
   void finish(bool Close) {
     this->RequestActive = false;
     this->DisconnectHandler = nullptr;
+    if (Close && this->Discards) {
+      this->startTimeout(DiscardTime);
+      return;
+    }
     if (Close) {
       this->Transport->closeAfterSending();
       if (!this->Transport->isOpen())
@@ -285,7 +372,11 @@
       return;
     }
     if (this->Parser == nullptr || !this->Parser->hasStarted()) {
-      this->closeNow();
+      // A reader that is slow, but reads, keeps its connection.
+      if (!this->Discards && this->Transport->unsentBytes() > 0)
+        this->startTimeout(this->Limits.IdleTimeout);
+      else
+        this->closeNow();
       return;
     }
     HttpHead Head;
@@ -297,6 +388,10 @@
   void onDisconnected() {
     this->TimeoutTimer.cancel();
     this->RequestActive = false;
+    this->ActiveBodyBytes = 0;
+    this->Buffer = std::string();
+    this->Parser.reset();
+    this->Input.set(0);
     auto Self = this->shared_from_this();
     std::function<void()> Call;
     std::swap(Call, this->DisconnectHandler);
@@ -309,6 +404,9 @@
   std::shared_ptr<Channel> Transport;
   CancellableTimer TimeoutTimer;
   ListenerHooks Hooks;
+  HeldBytes &Output;
+  HeldBytes Input;
+  size_t ActiveBodyBytes = 0;
   CallerLimits Limits;
   std::unique_ptr<RequestParser> Parser;
   std::string Buffer;
@@ -318,6 +416,10 @@
   bool HeadOnly = false;
   bool ContinueHandled = false;
   bool CloseAfterStream = false;
+  /// The last answer is a stream.
+  bool IsStream = false;
+  /// Received bytes are dropped until the connection closes.
+  bool Discards = false;
 };
 
 } // namespace
@@ -333,6 +435,7 @@
           Hooks.Limits = Self->Limits;
           Hooks.Handler = Self->Handler;
           Hooks.Timer = &Self->Timer;
+          Hooks.Memory = Self->Memory;
           std::weak_ptr<State> Weak = Self;
           Hooks.Draining = [Weak] {
             auto Listener = Weak.lock();
@@ -354,10 +457,11 @@
 
 HttpListener::HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
                            std::function<CallerLimits()> Limits,
-                           RequestHandler Handler)
+                           RequestHandler Handler, HeldMemoryPtr Memory)
     : Shared(std::make_shared<State>(Loop, Timer)) {
   this->Shared->Limits = std::move(Limits);
   this->Shared->Handler = std::move(Handler);
+  this->Shared->Memory = std::move(Memory);
 }
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -90,7 +90,26 @@
                  RetryDelayOtherHost);
     return false;
   }
-  return true;
+  return this->admitBytes();
+}
+
+uint64_t Relay::owner() const {
+  const WorkspaceId &Id = this->Workspace.Id;
+  return Id.empty() ? 0 : stableHash(Id.text());
+}
+
+bool Relay::admitBytes() {
+  this->CallerResponder->identify(this->owner(), this->RequestId);
+  bool IsWithinShare = this->Request.Body.empty() ||
+                       this->Core.Memory->account().admitsOwner(this->owner());
+  if (!this->Request.BodyRefused && IsWithinShare)
+    return true;
+  this->Core.Counters.count(Counter::BodiesRefused);
+  double Spread = 0.5 + hashToUnitInterval(this->RequestId);
+  this->refuse(RefusalKind::Overloaded,
+               "this host holds too many bytes of requests and answers",
+               RetryDelayWhenFull * Spread);
+  return false;
 }
 
 void Relay::resolveRequest() {
@@ -287,8 +306,8 @@
   this->LastReplica = TargetReplica->Entry.Id.text();
   this->LastVersion = TargetReplica->Entry.Version.text();
   this->ExpectedTime = Chosen.QueueDelay + Chosen.PrefillTime;
-  auto NewAttempt = std::make_shared<Attempt>(this->weak_from_this(),
-                                              TargetReplica, Core.Loop);
+  auto NewAttempt = std::make_shared<Attempt>(
+      this->weak_from_this(), TargetReplica, Core.Loop, Core.Memory);
   this->Current = NewAttempt;
   bool MayReuse = this->MatchedRoute->Repeats != Repeatability::AtMostOnce;
   this->connectAttempt(*NewAttempt, MayReuse);
@@ -313,6 +332,7 @@
   if (!this->Core.Registry.limits().empty())
     this->logLimitedAttempt(*TargetReplica);
   this->Core.Registry.onRequestStarted(Chosen, Query);
+  NewAttempt->setReplicaBytes(static_cast<int64_t>(this->Request.Body.size()));
   if (Chosen.PrefillTime > absl::ZeroDuration())
     this->Core.Hooks.OnWorkSent(*TargetReplica, Chosen.PrefillTime);
   this->AttemptsSent += 1;
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -23,6 +23,8 @@
 inline constexpr absl::Duration RetryDelayWhenBusy = absl::Milliseconds(700);
 inline constexpr absl::Duration RetryDelayWhenStarting =
     absl::Milliseconds(500);
+/// The mean time in which slow readers end and replicas read requests.
+inline constexpr absl::Duration RetryDelayWhenFull = absl::Seconds(1);
 inline constexpr absl::Duration RetryDelayOtherHost = absl::Milliseconds(50);
 
 /// A replica that ends under a prompt does so within this time after the first
@@ -52,6 +54,10 @@
 private:
   /// Looks up route and workspace; returns false if the request was refused.
   bool admit();
+  /// Refuses the request if this host holds too many bytes.
+  bool admitBytes();
+  /// Whose bytes the host holds for this request; 0 when unknown.
+  uint64_t owner() const;
   void resolveRequest();
   void startNextAttempt();
   void sendAttempt(const Choice &Chosen, const ChoiceQuery &Query);
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -129,13 +129,16 @@
     this->rejectOversized(Source, "answer", Settings.MaxAnswerBytes);
     return;
   }
-  if (this->Core.BufferedBytes + Chunk.size() > Settings.MaxBufferedBytes) {
-    this->rejectOversized(Source, "all answers", Settings.MaxBufferedBytes);
+  const MemoryAccount &Account = this->Core.Memory->account();
+  auto ChunkBytes = static_cast<int64_t>(Chunk.size());
+  if (Account.of(HeldKind::Answer) + ChunkBytes > Account.bounds().Answers ||
+      !Account.admits(ChunkBytes)) {
+    this->rejectOversized(Source, "all answers",
+                          static_cast<size_t>(Account.bounds().Answers));
     return;
   }
   Source.Body += Chunk;
-  Source.BufferedBytes = &this->Core.BufferedBytes;
-  this->Core.BufferedBytes += Chunk.size();
+  Source.Held.set(static_cast<int64_t>(Source.Body.size()));
 }
 
 void Relay::rejectOversized(Attempt &Source, const char *Part, size_t Limit) {
@@ -167,6 +170,7 @@
       Source.EventCount += 1;
     }
   }
+  Source.Held.set(static_cast<int64_t>(Source.Splitter.pendingBytes()));
   if (Source.EventCount > 0 && this->now() - Source.FirstEventAt >= ProofTime)
     this->noteInputAnswered(Source);
   this->observeEvents(Source, false);
@@ -285,6 +289,7 @@
              Reason == RetryReason::CutMidStream;
   if (Cut) {
     Line["events"] = Source.EventCount;
+    Line["replica_bytes"] = Json::Int64(Source.TargetReplica->HeldBytes);
     Line["input"] = toHex(this->Input.Identity);
     Line["segments"] = Json::Value(Json::arrayValue);
     for (uint64_t Segment : this->Input.Segments)
@@ -318,6 +323,7 @@
   this->Current.reset();
   EndedAttempt->TimeoutTimer.cancel();
   EndedAttempt->Connection->cancel();
+  EndedAttempt->setReplicaBytes(0);
   if (!EndedAttempt->FirstByteReceived)
     this->Core.Registry.onRequestCancelled(EndedAttempt->Selection,
                                            this->now());
--- a/src/exchange/relay_path.cpp
+++ b/src/exchange/relay_path.cpp
@@ -64,13 +64,15 @@
   if (NewAttempt.Connection != nullptr) {
     if (OverPeer)
       NewAttempt.Peer = NewAttempt.Connection->remote();
-    return;
+  } else {
+    NewAttempt.Connection =
+        OverPeer ? std::make_shared<UpstreamConnection>(
+                       this->Core.Loop, *NewAttempt.Peer, Target.IdHash)
+                 : std::make_shared<UpstreamConnection>(this->Core.Loop,
+                                                        Target.Entry.Address);
   }
-  NewAttempt.Connection =
-      OverPeer ? std::make_shared<UpstreamConnection>(
-                     this->Core.Loop, *NewAttempt.Peer, Target.IdHash)
-               : std::make_shared<UpstreamConnection>(this->Core.Loop,
-                                                      Target.Entry.Address);
+  NewAttempt.Connection->countUnsent(this->Core.Memory, this->owner(),
+                                     this->RequestId);
 }
 
 void Relay::onAttemptConnected(Attempt &Source) {
--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -79,6 +79,12 @@
 
   void start(bool HasRoom) {
     this->IsRefused = !HasRoom;
+    for (const auto &Side : {this->Host, this->Replica})
+      Side->countUnsent(this->Hooks.Memory, HeldKind::Tunnel)
+          .setEnd([Weak = this->weak_from_this()] {
+            if (auto Self = Weak.lock())
+              Self->endSlow();
+          });
     this->Host->setListener(this->HostSide);
     this->startTimeout(RequestTimeout, [](Tunnel &Self) { Self.end(); });
     this->Host->startAccepted();
@@ -92,6 +98,13 @@
     this->Remove(Self);
   }
 
+  /// The other host must not mistake a broken answer for a complete one.
+  void endSlow() {
+    this->Host->reset();
+    this->Replica->reset();
+    this->end();
+  }
+
   bool isBusy() const {
     return this->IsEstablished &&
            (this->IsAwaitingAnswer ||
--- a/src/exchange/tunnel.h
+++ b/src/exchange/tunnel.h
@@ -12,6 +12,7 @@
 
 #include "absl/status/status.h"
 #include "berylramp/exchange.h"
+#include "held_memory.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
 #include <set>
@@ -53,6 +54,7 @@
       OnUnreached;
   /// Finds out what a refused connection to the replica shows.
   std::function<void(const PathTarget &, TunnelCallback)> ExplainRefusal;
+  HeldMemoryPtr Memory;
 };
 
 /// Forwards bytes between other hosts and replicas.
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -39,6 +39,21 @@
 
 } // namespace
 
+void UpstreamConnection::countUnsent(const HeldMemoryPtr &Memory,
+                                     uint64_t Owner,
+                                     const std::string &RequestId) {
+  HeldBytes &Held =
+      this->Transport->countUnsent(Memory, HeldKind::ReplicaOutput);
+  Held.identify(Owner, RequestId);
+  Held.setEnd([Weak = this->weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->fail(ConnectionFault::Abandoned);
+  });
+  if (this->isTunnel())
+    this->HeldUnsent =
+        std::make_unique<HeldBytes>(Memory, HeldKind::ReplicaOutput);
+}
+
 void UpstreamConnection::start(std::string Bytes, bool WithoutBody,
                                std::weak_ptr<AnswerListener> NewListener) {
   this->Listener = std::move(NewListener);
@@ -49,6 +64,8 @@
   this->HeadDelivered = false;
   if (this->isTunnel() && !this->Connected) {
     this->Unsent = std::move(Bytes);
+    if (this->HeldUnsent != nullptr)
+      this->HeldUnsent->set(static_cast<int64_t>(this->Unsent.size()));
     this->Transport->send(tunnelRequest(*this->TunnelTo));
   } else {
     this->Transport->send(std::move(Bytes));
@@ -95,6 +112,7 @@
     this->onEstablished();
     this->Transport->send(std::move(this->Unsent));
     this->Unsent.clear();
+    this->HeldUnsent.reset();
     return;
   }
   this->Connecting = false;
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -29,13 +29,16 @@
   /// Reset, or given up by the kernel.
   Reset,
   /// The received bytes are not a valid HTTP answer.
-  Malformed
+  Malformed,
+  /// Given up because the replica read the request too slowly.
+  Abandoned
 };
 
 /// Whether the request may have reached the replica.
 inline bool mayHaveArrived(ConnectionFault Fault) {
   return Fault == ConnectionFault::Cut || Fault == ConnectionFault::Reset ||
-         Fault == ConnectionFault::Malformed;
+         Fault == ConnectionFault::Malformed ||
+         Fault == ConnectionFault::Abandoned;
 }
 
 /// Receives the answer to one request.
@@ -63,6 +66,9 @@
       : Transport(std::make_shared<Channel>(Loop)), Remote(std::move(Peer)),
         TunnelTo(Replica) {}
 
+  /// Counts the bytes of requests of \p Owner that the replica has not read.
+  void countUnsent(const HeldMemoryPtr &Memory, uint64_t Owner,
+                   const std::string &RequestId);
   /// Sends one request; \p WithoutBody states that its answer has no body.
   void start(std::string Bytes, bool WithoutBody,
              std::weak_ptr<AnswerListener> NewListener);
@@ -101,6 +107,7 @@
   std::optional<uint64_t> TunnelTo;
   /// The request, until a tunnel is established.
   std::string Unsent;
+  std::unique_ptr<HeldBytes> HeldUnsent;
   std::unique_ptr<AnswerParser> Parser;
   std::weak_ptr<AnswerListener> Listener;
   std::string Buffer;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -51,7 +51,9 @@
     "ratings_received",
     "holds_tripped",
     "replica_ejections",
-    "bytes_across"};
+    "bytes_across",
+    "slow_readers_ended",
+    "bodies_refused"};
 
 constexpr std::array<const char *, LatencyCount> LatencyNames = {
     "first_token", "between_tokens", "whole_request", "decision",
--- a/src/upstreams/choice.cpp
+++ b/src/upstreams/choice.cpp
@@ -146,7 +146,8 @@
   Chosen.Target =
       *std::min_element(Available.begin(), Available.end(),
                         [&](const ReplicaPtr &A, const ReplicaPtr &B) {
-                          return Cost(*A) < Cost(*B);
+                          return std::make_pair(Cost(*A), A->HeldBytes) <
+                                 std::make_pair(Cost(*B), B->HeldBytes);
                         });
   return Chosen;
 }
--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -16,6 +16,10 @@
 constexpr int CallerCount = 12;
 constexpr absl::Duration CallTimeout = absl::Seconds(6);
 constexpr int ShortEvents = 5;
+/// Every so many calls the caller reads slowly.
+constexpr size_t SlowCallInterval = 8;
+constexpr size_t SlowReadBytes = 64;
+constexpr absl::Duration SlowReadDelay = absl::Milliseconds(10);
 constexpr absl::Duration DirectoryRefreshInterval = absl::Milliseconds(300);
 
 tcp::endpoint endpointOf(const Endpoint &Target) {
@@ -169,9 +173,12 @@
 
 void Callers::readAnswer(const std::shared_ptr<Caller> &Client,
                          size_t RecordIndex) {
+  bool IsSlow = RecordIndex % SlowCallInterval == 0;
+  size_t MaxBytes = IsSlow ? SlowReadBytes : Client->Buffer.size();
   Client->Socket.async_read_some(
-      boost::asio::buffer(Client->Buffer),
-      [this, Client, RecordIndex](const ErrorCode &Error, size_t Count) {
+      boost::asio::buffer(Client->Buffer, MaxBytes),
+      [this, Client, RecordIndex, IsSlow](const ErrorCode &Error,
+                                          size_t Count) {
         if (Client->RecordIndex != RecordIndex || !Client->Busy)
           return;
         Client->Received.append(Client->Buffer.data(), Count);
@@ -179,6 +186,11 @@
           Client->close();
         if (Error || isCompleteAnswer(Client->Received))
           this->finishCall(Client, RecordIndex);
+        else if (IsSlow)
+          this->Env.Timer.after(SlowReadDelay, [this, Client, RecordIndex] {
+            if (Client->RecordIndex == RecordIndex && Client->Busy)
+              this->readAnswer(Client, RecordIndex);
+          });
         else
           this->readAnswer(Client, RecordIndex);
       });
