--- /dev/null
+++ b/src/exchange/caller_connection.h
@@ -0,0 +1,96 @@
+//===- caller_connection.h - One connection of a caller ---------*- C++ -*-===//
+//
+// Reads requests one after the other and writes their answers.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef BERYLRAMP_EXCHANGE_CALLER_CONNECTION_H
+#define BERYLRAMP_EXCHANGE_CALLER_CONNECTION_H
+
+#include "cancellable_timer.h"
+#include "channel.h"
+#include "http_parse.h"
+#include <boost/asio/ip/tcp.hpp>
+
+namespace berylramp {
+
+/// One connection of a caller.
+class CallerConnection : public ChannelListener,
+                         public Responder,
+                         public std::enable_shared_from_this<CallerConnection> {
+public:
+  struct ListenerHooks {
+    std::function<CallerLimits()> Limits;
+    std::function<bool()> Draining;
+    std::function<void(std::shared_ptr<ChannelListener>)> RemoveConnection;
+    RequestHandler Handler;
+    HeldMemoryPtr Memory;
+    TimerService *Timer = nullptr;
+  };
+
+  CallerConnection(boost::asio::io_context &Loop,
+                   boost::asio::ip::tcp::socket Socket, ListenerHooks Hooks)
+      : Loop(Loop), Transport(std::make_shared<Channel>(std::move(Socket))),
+        TimeoutTimer(Loop), Hooks(std::move(Hooks)),
+        Output(this->Transport->countUnsent(this->Hooks.Memory,
+                                            HeldKind::CallerOutput)),
+        Input(this->Hooks.Memory, HeldKind::CallerInput) {}
+
+  void start();
+  void closeNow();
+  bool isBusy() const;
+  void identify(uint64_t Owner, const std::string &RequestId) override;
+  void onBytes(absl::string_view Bytes) override;
+  void onClosed(bool Orderly) override { this->onDisconnected(); }
+  void sendWhole(const HttpHead &Head, const std::string &Body,
+                 bool CloseAfter) override;
+  void beginStream(const HttpHead &Head) override;
+  void sendChunk(std::string Chunk) override;
+  void endStream() override;
+  void abort() override;
+  void onCallerDisconnect(std::function<void()> Call) override;
+
+private:
+  std::string statusLine(const HttpHead &Head) const;
+  bool shouldClose(bool Requested) const;
+  bool admits(size_t Bytes) const;
+  size_t maxUnsentBytes() const;
+  /// Counts the bytes that were received and not released.
+  void updateInput();
+  void endSlowReader();
+  /// Answers a request whose body is not received.
+  void refuseBody();
+  void awaitRequest();
+  void parse();
+  void startRequest(CallerRequest Request, bool MayKeepAlive);
+  void rejectMalformed(ParseFault Fault);
+  void finish(bool Close);
+  void startTimeout(absl::Duration Timeout);
+  void onTimeout();
+  void onDisconnected();
+
+  boost::asio::io_context &Loop;
+  std::shared_ptr<Channel> Transport;
+  CancellableTimer TimeoutTimer;
+  ListenerHooks Hooks;
+  HeldBytes &Output;
+  HeldBytes Input;
+  size_t ActiveBodyBytes = 0;
+  CallerLimits Limits;
+  std::unique_ptr<RequestParser> Parser;
+  std::string Buffer;
+  std::function<void()> DisconnectHandler;
+  bool RequestActive = false;
+  bool KeepAlive = true;
+  bool HeadOnly = false;
+  bool ContinueHandled = false;
+  bool CloseAfterStream = false;
+  /// The last answer is a stream.
+  bool IsStream = false;
+  /// Received bytes are dropped until the connection closes.
+  bool Discards = false;
+};
+
+} // namespace berylramp
+
+#endif // BERYLRAMP_EXCHANGE_CALLER_CONNECTION_H
