--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -1,17 +1,7 @@
-//===- listener.cpp - Connections of callers ------------------------------===//
-//
-// While a request is in progress, its connection continues to read up to a
-// limit, so that a caller's disconnect is detected immediately.
-//
-//===----------------------------------------------------------------------===//
+//===- listener.cpp - Accepts connections of callers ----------------------===//
 
-#include "cancellable_timer.h"
-#include "channel.h"
-#include "http_parse.h"
+#include "caller_connection.h"
 
-#include "absl/strings/str_cat.h"
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <unordered_set>
 
 namespace berylramp {
@@ -20,47 +10,10 @@
 
 using boost::asio::ip::tcp;
 
-/// Bytes of pipelined requests to buffer while a request is in progress.
-constexpr size_t MaxBufferedBytes = 65536;
-/// Unsent bytes of a stream above which a slow caller is disconnected.
-constexpr size_t MaxUnsentBytes = 256U << 10;
 /// Connections that may wait to be accepted; sized for the burst of reconnects
 /// after another host has failed.
 constexpr int AcceptBacklog = 1024;
 
-constexpr const char *TooLargeReason = "Content Too Large";
-
-const char *reasonPhrase(int Status) {
-  switch (Status) {
-  case 200:
-    return "OK";
-  case 400:
-    return "Bad Request";
-  case 401:
-    return "Unauthorized";
-  case 404:
-    return "Not Found";
-  case 408:
-    return "Request Timeout";
-  case 413:
-    return TooLargeReason;
-  case 431:
-    return "Request Header Fields Too Large";
-  case 502:
-    return "Bad Gateway";
-  case 503:
-    return "Service Unavailable";
-  case 504:
-    return "Gateway Timeout";
-  default:
-    return "Answer";
-  }
-}
-
-bool statusAllowsBody(int Status) {
-  return Status >= 200 && Status != 204 && Status != 304;
-}
-
 } // namespace
 
 struct HttpListener::State : std::enable_shared_from_this<State> {
@@ -73,255 +26,11 @@
   TimerService &Timer;
   std::function<CallerLimits()> Limits;
   RequestHandler Handler;
+  HeldMemoryPtr Memory;
   bool Draining = false;
   std::unordered_set<std::shared_ptr<ChannelListener>> Connections;
 };
 
-namespace {
-
-/// One connection of a caller.
-class CallerConnection : public ChannelListener,
-                         public Responder,
-                         public std::enable_shared_from_this<CallerConnection> {
-public:
-  struct ListenerHooks {
-    std::function<CallerLimits()> Limits;
-    std::function<bool()> Draining;
-    std::function<void(std::shared_ptr<ChannelListener>)> RemoveConnection;
-    RequestHandler Handler;
-    TimerService *Timer = nullptr;
-  };
-
-  CallerConnection(boost::asio::io_context &Loop, tcp::socket Socket,
-                   ListenerHooks Hooks)
-      : Loop(Loop), Transport(std::make_shared<Channel>(std::move(Socket))),
-        TimeoutTimer(Loop), Hooks(std::move(Hooks)) {}
-
-  void start() {
-    this->Transport->setListener(this->weak_from_this());
-    this->awaitRequest();
-    this->Transport->startAccepted();
-  }
-
-  void closeNow() {
-    this->Transport->close();
-    this->onDisconnected();
-  }
-
-  bool isBusy() const {
-    bool HasRequest = this->RequestActive ||
-                      (this->Parser != nullptr && this->Parser->hasStarted());
-    return HasRequest || this->Transport->unsentBytes() > 0 ||
-           this->Transport->hasUnread();
-  }
-
-  void onBytes(absl::string_view Bytes) override {
-    this->Buffer.append(Bytes.data(), Bytes.size());
-    if (this->RequestActive) {
-      if (this->Buffer.size() > MaxBufferedBytes)
-        this->Transport->pauseReading();
-      return;
-    }
-    this->parse();
-  }
-
-  void onClosed(bool Orderly) override { this->onDisconnected(); }
-
-  void sendWhole(const HttpHead &Head, const std::string &Body,
-                 bool CloseAfter) override {
-    if (!this->RequestActive)
-      return;
-    bool Close = this->shouldClose(CloseAfter);
-    std::string Message = this->statusLine(Head);
-    std::vector<HeaderField> Fields = Head.Headers;
-    if (statusAllowsBody(Head.Status) && !this->HeadOnly)
-      Fields.emplace_back("Content-Length", absl::StrCat(Body.size()));
-    if (Close)
-      Fields.emplace_back("Connection", "close");
-    appendFields(Message, Fields);
-    if (statusAllowsBody(Head.Status) && !this->HeadOnly)
-      Message += Body;
-    this->Transport->send(std::move(Message));
-    this->finish(Close);
-  }
-
-  void beginStream(const HttpHead &Head) override {
-    if (!this->RequestActive)
-      return;
-    this->CloseAfterStream = this->shouldClose(false);
-    std::string Message = this->statusLine(Head);
-    std::vector<HeaderField> Fields = Head.Headers;
-    Fields.emplace_back("Transfer-Encoding", "chunked");
-    if (this->CloseAfterStream)
-      Fields.emplace_back("Connection", "close");
-    appendFields(Message, Fields);
-    this->Transport->send(std::move(Message));
-  }
-
-  void sendChunk(std::string Chunk) override {
-    if (!this->RequestActive || Chunk.empty())
-      return;
-    this->Transport->send(
-        absl::StrCat(absl::Hex(Chunk.size()), "\r\n", Chunk, "\r\n"));
-    if (this->Transport->unsentBytes() > MaxUnsentBytes) {
-      this->Transport->reset();
-      this->onDisconnected();
-    }
-  }
-
-  void endStream() override {
-    if (!this->RequestActive)
-      return;
-    this->Transport->send("0\r\n\r\n");
-    this->finish(this->CloseAfterStream || this->Hooks.Draining());
-  }
-
-  void abort() override {
-    this->Transport->reset();
-    this->DisconnectHandler = nullptr;
-    this->onDisconnected();
-  }
-
-  void onCallerDisconnect(std::function<void()> Call) override {
-    this->DisconnectHandler = std::move(Call);
-  }
-
-private:
-  std::string statusLine(const HttpHead &Head) const {
-    const std::string &Reason = Head.Reason;
-    return absl::StrCat("HTTP/1.1 ", Head.Status, " ",
-                        Reason.empty() ? reasonPhrase(Head.Status) : Reason,
-                        "\r\n");
-  }
-
-  bool shouldClose(bool Requested) const {
-    return Requested || !this->KeepAlive || this->Hooks.Draining();
-  }
-
-  void awaitRequest() {
-    this->RequestActive = false;
-    this->DisconnectHandler = nullptr;
-    this->Limits = this->Hooks.Limits();
-    this->Parser = std::make_unique<RequestParser>(this->Limits);
-    this->ContinueHandled = false;
-    this->startTimeout(this->Limits.IdleTimeout);
-  }
-
-  void parse() {
-    bool HadStarted = this->Parser->hasStarted();
-    ParseFault Fault = this->Parser->feed(this->Buffer);
-    if (Fault != ParseFault::None) {
-      this->rejectMalformed(Fault);
-      return;
-    }
-    if (this->Parser->done()) {
-      this->dispatch();
-      return;
-    }
-    if (!HadStarted && !(this->Buffer.empty() && !this->Parser->hasStarted()))
-      this->startTimeout(this->Limits.HeaderTimeout);
-    if (this->Parser->headDone()) {
-      if (this->Parser->wantsContinue() && !this->ContinueHandled)
-        this->Transport->send("HTTP/1.1 100 Continue\r\n\r\n");
-      this->ContinueHandled = true;
-      this->startTimeout(this->Limits.IdleTimeout);
-    }
-  }
-
-  void dispatch() {
-    this->RequestActive = true;
-    this->TimeoutTimer.cancel();
-    this->KeepAlive = this->Parser->keepAlive();
-    CallerRequest Request = this->Parser->releaseRequest();
-    this->Parser.reset();
-    Request.ArrivedAt = this->Hooks.Timer->now();
-    this->HeadOnly = Request.Method == "HEAD";
-    RequestHandler Handler = this->Hooks.Handler;
-    Handler(std::move(Request), this->shared_from_this());
-  }
-
-  void rejectMalformed(ParseFault Fault) {
-    HttpHead Head;
-    Head.Status = Fault == ParseFault::HeaderTooLong ? 431
-                  : Fault == ParseFault::BodyTooLong ? 413
-                                                     : 400;
-    this->RequestActive = true;
-    this->KeepAlive = false;
-    this->sendWhole(Head, "", true);
-  }
-
-  void finish(bool Close) {
-    this->RequestActive = false;
-    this->DisconnectHandler = nullptr;
-    if (Close) {
-      this->Transport->closeAfterSending();
-      if (!this->Transport->isOpen())
-        this->onDisconnected();
-      else
-        this->startTimeout(this->Limits.IdleTimeout);
-      return;
-    }
-    this->awaitRequest();
-    this->Transport->resumeReading();
-    // Deferred to avoid recursion: a pipelined request may be answered
-    // synchronously.
-    if (!this->Buffer.empty())
-      boost::asio::post(this->Loop, [Self = this->shared_from_this()] {
-        if (!Self->RequestActive && Self->Transport->isOpen())
-          Self->parse();
-      });
-  }
-
-  void startTimeout(absl::Duration Timeout) {
-    this->TimeoutTimer.set(Timeout, [Weak = this->weak_from_this()] {
-      if (auto Self = Weak.lock())
-        Self->onTimeout();
-    });
-  }
-
-  void onTimeout() {
-    if (this->Parser != nullptr && this->Transport->hasUnread()) {
-      this->startTimeout(UnreadDataDelay);
-      return;
-    }
-    if (this->Parser == nullptr || !this->Parser->hasStarted()) {
-      this->closeNow();
-      return;
-    }
-    HttpHead Head;
-    Head.Status = 408;
-    this->RequestActive = true;
-    this->sendWhole(Head, "", true);
-  }
-
-  void onDisconnected() {
-    this->TimeoutTimer.cancel();
-    this->RequestActive = false;
-    auto Self = this->shared_from_this();
-    std::function<void()> Call;
-    std::swap(Call, this->DisconnectHandler);
-    if (Call)
-      Call();
-    this->Hooks.RemoveConnection(Self);
-  }
-
-  boost::asio::io_context &Loop;
-  std::shared_ptr<Channel> Transport;
-  CancellableTimer TimeoutTimer;
-  ListenerHooks Hooks;
-  CallerLimits Limits;
-  std::unique_ptr<RequestParser> Parser;
-  std::string Buffer;
-  std::function<void()> DisconnectHandler;
-  bool RequestActive = false;
-  bool KeepAlive = true;
-  bool HeadOnly = false;
-  bool ContinueHandled = false;
-  bool CloseAfterStream = false;
-};
-
-} // namespace
-
 void HttpListener::State::accept() {
   auto Self = this->shared_from_this();
   this->Acceptor.async_accept(
@@ -333,6 +42,7 @@
           Hooks.Limits = Self->Limits;
           Hooks.Handler = Self->Handler;
           Hooks.Timer = &Self->Timer;
+          Hooks.Memory = Self->Memory;
           std::weak_ptr<State> Weak = Self;
           Hooks.Draining = [Weak] {
             auto Listener = Weak.lock();
@@ -354,10 +64,11 @@
 
 HttpListener::HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
                            std::function<CallerLimits()> Limits,
-                           RequestHandler Handler)
+                           RequestHandler Handler, HeldMemoryPtr Memory)
     : Shared(std::make_shared<State>(Loop, Timer)) {
   this->Shared->Limits = std::move(Limits);
   this->Shared->Handler = std::move(Handler);
+  this->Shared->Memory = std::move(Memory);
 }
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
