--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -79,25 +79,6 @@
   Hosts
 };
 
-/// Rises by one each time the store returns from an older copy of its data.
-/// Offsets of different eras do not identify the same records.
-using StoreEra = Quantity<struct StoreEraTag>;
-
-/// A position in a topic of the store.
-struct StorePosition {
-  StoreEra Era;
-  /// Offset of the next read; NoOffset before the first read.
-  Offset Next = NoOffset;
-
-  friend bool operator==(const StorePosition &A, const StorePosition &B) {
-    return A.Era == B.Era && A.Next == B.Next;
-  }
-  /// A position of an earlier era comes before all positions of a later one.
-  friend bool operator<(const StorePosition &A, const StorePosition &B) {
-    return A.Era == B.Era ? A.Next < B.Next : A.Era < B.Era;
-  }
-};
-
 /// A record of a key.
 struct StoreRecord {
   std::string Key;
@@ -135,7 +116,7 @@
 };
 
 /// Kind of a key in the operators' topic.
-enum class OperatorKey { Table, Rollout, Other };
+enum class OperatorKey { Table, Rollout, Evacuation, Other };
 
 /// The platform's encoding of records, headers and directory answers.
 struct PlatformCodec {
@@ -144,12 +125,17 @@
   std::string ResolvePath;
   std::string RegionParameter;
   std::string PlaceParameter;
+  /// Names the host name that the caller will use.
+  std::string NameParameter;
   std::function<std::string(const std::vector<Endpoint> &, absl::Duration)>
       EncodeAddresses;
   std::function<OperatorKey(const std::string &Key)> Classify;
   std::function<absl::StatusOr<RouteTable>(const std::string &)> DecodeTable;
   std::function<absl::StatusOr<RolloutOrder>(const std::string &)>
       DecodeRollout;
+  /// Returns the data centre that a record's key evacuates.
+  std::function<absl::StatusOr<PlaceId>(const std::string &Key)>
+      DecodeEvacuationKey;
   std::function<absl::StatusOr<ReplicaEntry>(const std::string &Key,
                                              const std::string &)>
       DecodeReplica;
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -290,13 +290,13 @@
   std::function<void(const NamedLimit &)> OnReplicaLimit;
   /// Called when a brittle replica rejected a request for want of room.
   std::function<void(const Replica &)> OnBrittleFull = [](const Replica &) {};
-  /// Chooses the tunnel server of another host, not one of \p Tried, to reach
-  /// the replica over; nothing when there is none.
+  /// Chooses the tunnel server of another host in one of \p Regions, not one
+  /// of \p Tried, to reach the replica over; nothing when there is none.
   std::function<std::optional<Endpoint>(const Replica &,
-                                        const std::vector<Endpoint> &Tried)>
-      ChoosePeer = [](const Replica &, const std::vector<Endpoint> &) {
-        return std::nullopt;
-      };
+                                        const std::vector<Endpoint> &Tried,
+                                        const AllowedRegions &Regions)>
+      ChoosePeer = [](const Replica &, const std::vector<Endpoint> &,
+                      const AllowedRegions &) { return std::nullopt; };
   /// Called when another host did not open a tunnel.
   std::function<void(const Endpoint &Peer)> OnPeerFailed =
       [](const Endpoint &) {};
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -107,6 +107,8 @@
   bool LostPaths = false;
   StoreRole Store = StoreRole::Standby;
   TableVersion Table = NoTable;
+  /// Position up to which the host has applied the operators' records.
+  StorePosition Operators;
   std::vector<RolloutReport> Rollouts;
 };
 
@@ -114,6 +116,8 @@
 struct Peer {
   PeerState State;
   Instant LastSeen;
+  /// When the host itself sent the state, at the latest.
+  Instant SentAt;
 };
 
 /// The peers of this host.
@@ -152,7 +156,7 @@
                            absl::Duration &Elapsed) const;
 
 private:
-  void apply(const PeerState &State, Instant Now);
+  void apply(const PeerState &State, absl::Duration Age, Instant Now);
   /// Keeps the reports of a host that has restarted.
   void keepReports(const PeerState &Former);
 
--- a/include/berylramp/refusal.h
+++ b/include/berylramp/refusal.h
@@ -40,6 +40,7 @@
   AnswerCut,
   DeadlinePassed,
   InputQuarantined,
+  NoAllowedRegion,
   Internal
 };
 inline constexpr int RefusalKindCount =
--- a/include/berylramp/routes.h
+++ b/include/berylramp/routes.h
@@ -58,6 +58,7 @@
   /// Models to select from when the caller names none, smallest first.
   std::vector<ModelId> Models;
   std::vector<ServiceShare> ServiceShares;
+  AllowedRegions Regions;
 };
 
 /// The operator's cost of a model.
@@ -94,6 +95,7 @@
   WorkspaceId Id;
   /// Replaces the route's priority unless negative.
   int Priority = -1;
+  AllowedRegions Regions = std::nullopt;
 };
 
 /// Sequence number of the operators' changes; a larger one is newer.
@@ -128,6 +130,16 @@
 const WorkspaceInfo *findWorkspace(const RouteTable &Table,
                                    absl::string_view Key);
 
+/// The regions that both allow; each that states some binds.
+AllowedRegions combineRegions(const AllowedRegions &A, const AllowedRegions &B);
+
+/// Whether \p Regions allow \p Region.
+bool allowsRegion(const AllowedRegions &Regions, const RegionId &Region);
+
+/// The regions that the routes of \p Host allow: those that all of them allow,
+/// or else those that any of them states.
+AllowedRegions regionsOfHost(const RouteTable &Table, absl::string_view Host);
+
 /// The priority of the most urgent route to \p Service.
 int mostUrgentPriority(const RouteTable &Table, const ServiceId &Service);
 
--- a/include/berylramp/units.h
+++ b/include/berylramp/units.h
@@ -10,9 +10,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace berylramp {
 
@@ -102,6 +104,29 @@
 /// The offset that denotes "no record yet".
 inline constexpr Offset NoOffset{-1};
 
+/// The regions that a request may be served in; nothing when any may. An empty
+/// list allows none.
+using AllowedRegions = std::optional<std::vector<RegionId>>;
+
+/// Rises by one each time the store returns from an older copy of its data.
+/// Offsets of different eras do not identify the same records.
+using StoreEra = Quantity<struct StoreEraTag>;
+
+/// A position in a topic of the store.
+struct StorePosition {
+  StoreEra Era;
+  /// Offset of the next read; NoOffset before the first read.
+  Offset Next = NoOffset;
+
+  friend bool operator==(const StorePosition &A, const StorePosition &B) {
+    return A.Era == B.Era && A.Next == B.Next;
+  }
+  /// A position of an earlier era comes before all positions of a later one.
+  friend bool operator<(const StorePosition &A, const StorePosition &B) {
+    return A.Era == B.Era ? A.Next < B.Next : A.Era < B.Era;
+  }
+};
+
 /// A model and one of its versions.
 struct VersionKey {
   ModelId Model;
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -16,8 +16,10 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -126,6 +128,11 @@
   Instant UsableUntil;
   /// Hash of the id, which identifies the replica in datagrams between hosts.
   uint64_t IdHash = 0;
+  /// The number of the replica's region; none when its place is unknown.
+  std::optional<size_t> Region;
+  /// The replica's data centre is being evacuated; it receives no further
+  /// request.
+  bool Evacuated = false;
   /// Requests of this host in progress.
   int InFlight = 0;
   ReportedLoad Load;
@@ -175,10 +182,19 @@
   bool RequireTarget = false;
 };
 
+/// The regions that a request may be sent to, by the numbers that the registry
+/// gives them.
+struct RegionRule {
+  /// False when all regions are allowed.
+  bool Binds = false;
+  std::vector<bool> Allowed;
+};
+
 /// The request that a replica is selected for.
 struct ChoiceQuery {
   ServiceId Service;
   VersionRule Rule;
+  RegionRule Regions;
   /// The prompt's segments in order; empty for a plain service.
   std::vector<PromptSegment> Segments;
   /// The model's prefill time per token, in milliseconds.
@@ -212,6 +228,8 @@
   /// Other data centres of the own region, and their distance; data centres of
   /// other regions are at distance 1.
   std::vector<PlaceId> SameRegion;
+  /// The region of each data centre.
+  std::map<PlaceId, RegionId> Regions;
   double RegionDistance = 0.25;
   /// Amount, in requests per slot, by which the load of a replica at distance 1
   /// must be lower for it to be preferred.
@@ -283,8 +301,7 @@
 /// The replicas of all services.
 class UpstreamRegistry {
 public:
-  explicit UpstreamRegistry(ChoiceSettings Settings)
-      : Settings(std::move(Settings)) {}
+  explicit UpstreamRegistry(ChoiceSettings Settings);
 
   /// Adds or updates a replica. A replica that restarted or changed its service
   /// is added anew, without the former state.
@@ -308,6 +325,10 @@
   /// pause, or for fewer requests, accepts one again; the infinite future when
   /// there is none.
   Instant earliestAvailability(const ChoiceQuery &Query) const;
+  /// Sends nothing to the replicas of \p Places, and again to those of places
+  /// evacuated before.
+  void setEvacuated(std::set<PlaceId> Places);
+  RegionRule regionRule(const AllowedRegions &Regions) const;
   /// Drops a replica at once, e.g. when another replica answers at its address.
   void evict(const UpstreamId &Id, Instant Now);
   /// Drops removed replicas whose grace period has passed, and expired notices.
@@ -371,6 +392,8 @@
   Choice estimate(const ReplicaPtr &Target, const ChoiceQuery &Query) const;
 
   ChoiceSettings Settings;
+  std::map<RegionId, size_t> RegionNumbers;
+  std::set<PlaceId> Evacuated;
   absl::flat_hash_map<std::string, ReplicaPtr> ById;
   absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> ByService;
   absl::flat_hash_map<uint64_t, ReplicaPtr> ByHash;
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -29,6 +29,7 @@
   std::vector<const PeerState *> Usable;
   std::vector<const PeerState *> SamePlace;
   std::vector<const PeerState *> SameRegion;
+  std::vector<const PeerState *> Allowed;
   for (const PeerState &Host : Hosts) {
     if (!Host.Ready || Host.Leaving)
       continue;
@@ -36,14 +37,20 @@
     if (Host.Place == Query.Place)
       SamePlace.push_back(&Host);
     auto Region = Query.Regions->find(Host.Place);
-    if (Region != Query.Regions->end() && Region->second == Query.Region)
+    bool IsKnown = Region != Query.Regions->end();
+    bool IsNear = IsKnown && Region->second == Query.Region;
+    if (IsNear)
       SameRegion.push_back(&Host);
+    if (IsNear ||
+        (IsKnown && allowsRegion(Query.Allowed, RegionId(Region->second))))
+      Allowed.push_back(&Host);
   }
   if (SamePlace.size() >= MinNearHosts)
     return addressesOf(SamePlace, Query.MaxHosts);
   if (SameRegion.size() >= MinNearHosts)
     return addressesOf(SameRegion, Query.MaxHosts);
-  return addressesOf(Usable, Query.MaxHosts);
+  return addressesOf(Allowed.empty() || !Query.Allowed ? Usable : Allowed,
+                     Query.MaxHosts);
 }
 
 std::vector<uint32_t>
@@ -68,7 +75,8 @@
   for (const PeerState *Host : Hosts) {
     bool IsExcluded = std::find(Query.Excluded.begin(), Query.Excluded.end(),
                                 Host->Ip) != Query.Excluded.end();
-    if (!Host->Ready || Host->Leaving || IsExcluded)
+    if (!Host->Ready || Host->Leaving || IsExcluded ||
+        !allowsRegion(Query.Allowed, RegionId(RegionOf(Host->Place))))
       continue;
     int Rank = RankOf(*Host);
     if (!Best.empty() && Rank > BestRank)
--- a/src/edge/directory.h
+++ b/src/edge/directory.h
@@ -4,6 +4,7 @@
 #define BERYLRAMP_EDGE_DIRECTORY_H
 
 #include "berylramp/gossip.h"
+#include "berylramp/routes.h"
 #include <map>
 
 namespace berylramp {
@@ -14,11 +15,14 @@
   /// Region of each data centre.
   const std::map<PlaceId, std::string> *Regions = nullptr;
   size_t MaxHosts = 64;
+  /// The regions that the routes of the queried name allow.
+  AllowedRegions Allowed;
 };
 
 /// Addresses of the hosts that a caller should use: those of its data centre,
-/// or of its region when the data centre has fewer than two usable hosts, or
-/// all usable hosts when the region has fewer than two.
+/// or of its region when the data centre has fewer than two usable hosts. When
+/// the region has fewer than two as well, those of its region and of the
+/// allowed ones; all usable hosts when there are none.
 std::vector<uint32_t> hostsFor(const DirectoryQuery &Query,
                                const std::vector<PeerState> &Hosts);
 
@@ -30,6 +34,8 @@
   const std::map<PlaceId, std::string> *Regions = nullptr;
   /// Hosts that were tried for the request, or failed to help recently.
   std::vector<uint32_t> Excluded;
+  /// The regions in which a host may receive the request.
+  AllowedRegions Allowed = std::nullopt;
 };
 
 /// Addresses of the hosts that serve equally well; those without a lost path
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -153,6 +153,8 @@
                     static_cast<double>(this->Shared->Relayer->openTunnels())});
   Gauges.push_back({"berylramp_paths_lost",
                     this->Shared->Relayer->hasLostPaths() ? 1.0 : 0.0});
+  Gauges.push_back({"berylramp_places_evacuated",
+                    static_cast<double>(this->Shared->Evacuations.size())});
   Gauges.push_back({"berylramp_replicas_known",
                     static_cast<double>(this->Shared->Registry.size())});
   Gauges.push_back({"berylramp_peers_known",
--- a/src/edge/edge_paths.cpp
+++ b/src/edge/edge_paths.cpp
@@ -11,10 +11,14 @@
 
 std::optional<Endpoint>
 EdgeDaemon::State::choosePeer(const Replica &Target,
-                              const std::vector<Endpoint> &Tried) const {
+                              const std::vector<Endpoint> &Tried,
+                              const AllowedRegions &Regions) const {
   Instant Now = this->Timer.now();
-  TunnelQuery Query{
-      this->Config.Place, Target.Entry.Place, &this->Config.Regions, {}};
+  TunnelQuery Query{this->Config.Place,
+                    Target.Entry.Place,
+                    &this->Config.Regions,
+                    {},
+                    Regions};
   for (const Endpoint &Peer : Tried)
     Query.Excluded.push_back(parseIp(Peer.Ip));
   for (const auto &[Ip, FailedAt] : this->FailedPeers)
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-/// Time for which a peer must announce a newer table before this host fetches
-/// records from a peer.
-constexpr absl::Duration NewerTableDelay = absl::Milliseconds(300);
+/// Time for which a peer must announce newer operators' records before this
+/// host fetches records from a peer.
+constexpr absl::Duration NewerRecordsDelay = absl::Milliseconds(300);
 /// Fraction of the drain timeout. When reads of the store fail for longer, the
 /// store counts as unavailable: this host fetches from peers and is no reader
 /// for them.
@@ -142,9 +142,12 @@
   this->States->resume();
 }
 
+bool EdgeDaemon::State::hasNewerRecords() const {
+  return this->Timer.now() - this->NewerRecordsSince > NewerRecordsDelay;
+}
+
 bool EdgeDaemon::State::needsPeerRecords() const {
-  return !this->isStoreAvailable() ||
-         this->Timer.now() - this->NewerTableSince > NewerTableDelay;
+  return !this->isStoreAvailable() || this->hasNewerRecords();
 }
 
 absl::Duration EdgeDaemon::State::maxReaderAge() const {
@@ -163,11 +166,12 @@
   std::vector<uint32_t> All;
   for (const Peer *Candidate : this->Peers.live(Now)) {
     All.push_back(Candidate->State.Ip);
-    if (Candidate->State.Table > Own)
+    if (Candidate->State.Table > Own ||
+        this->Peers.self().Operators < Candidate->State.Operators)
       Newer.push_back(Candidate->State.Ip);
   }
   if (Newer.empty())
-    this->NewerTableSince = Now;
+    this->NewerRecordsSince = Now;
   uint32_t Reader = this->regionReader();
   if (this->isSettling()) {
     for (const auto &Follower : {this->Operators, this->States, this->Replicas})
@@ -186,7 +190,14 @@
       this->resumeTableFollowers();
   }
   this->limitProbes();
-  if (!Direct)
+  // The reader itself may be the one that has older records. It is asked every
+  // other time, because this host depends on its replica entries.
+  this->AsksNewer = !this->AsksNewer && this->hasNewerRecords();
+  bool PassesReader = this->AsksNewer && std::find(Newer.begin(), Newer.end(),
+                                                   Reader) == Newer.end();
+  if (!Direct && PassesReader)
+    this->fetchFromAnyPeer(Newer);
+  else if (!Direct)
     this->fetchFromReader(Reader);
   else if (this->needsPeerRecords())
     this->fetchFromAnyPeer(Newer.empty() ? All : Newer);
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -36,33 +36,33 @@
   logEvent(LogLevel::Warn, "record_skipped", Line);
 }
 
-void EdgeDaemon::State::applyOperatorRecords(
-    const std::vector<StoreRecord> &Records, Offset ReadTo) {
-  for (const StoreRecord &Record : Records) {
+void EdgeDaemon::State::applyOperatorRecords(const RecordBatch &Batch) {
+  for (const StoreRecord &Record : Batch.Records) {
     if (!Record.Value)
       continue;
     OperatorKey Kind = this->Platform.Codec.Classify(Record.Key);
-    if (Kind == OperatorKey::Table) {
-      this->applyTable(Record, ReadTo);
-      continue;
-    }
-    if (Kind != OperatorKey::Rollout)
-      continue;
-    absl::StatusOr<RolloutOrder> Order =
-        this->Platform.Codec.DecodeRollout(*Record.Value);
-    if (!Order.ok()) {
-      this->logSkippedRecord(Record.Key, Order.status());
-      continue;
-    }
-    this->Cache.put(StoreTopic::Operators, Record, ReadTo);
-    this->Rollouts->onOrder(*Order);
-    std::string Key = this->Platform.Codec.RolloutKey(Order->Service);
-    const std::string *Known = this->Cache.find(StoreTopic::RolloutStates, Key);
-    if (Known != nullptr)
-      this->applyRolloutStates({StoreRecord{Key, *Known}}, ReadTo);
+    if (Kind == OperatorKey::Table)
+      this->applyTable(Record, Batch.Next);
+    else if (Kind == OperatorKey::Rollout)
+      this->applyRollout(Record, Batch.Next);
   }
 }
 
+void EdgeDaemon::State::applyRollout(const StoreRecord &Record, Offset ReadTo) {
+  absl::StatusOr<RolloutOrder> Order =
+      this->Platform.Codec.DecodeRollout(*Record.Value);
+  if (!Order.ok()) {
+    this->logSkippedRecord(Record.Key, Order.status());
+    return;
+  }
+  this->Cache.put(StoreTopic::Operators, Record, ReadTo);
+  this->Rollouts->onOrder(*Order);
+  std::string Key = this->Platform.Codec.RolloutKey(Order->Service);
+  const std::string *Known = this->Cache.find(StoreTopic::RolloutStates, Key);
+  if (Known != nullptr)
+    this->applyRolloutStates({StoreRecord{Key, *Known}}, ReadTo);
+}
+
 void EdgeDaemon::State::applyTable(const StoreRecord &Record, Offset ReadTo) {
   absl::StatusOr<RouteTable> Decoded =
       this->Platform.Codec.DecodeTable(*Record.Value);
@@ -229,7 +229,7 @@
 }
 
 void EdgeDaemon::State::applyBatch(StoreTopic Topic, const RecordBatch &Batch,
-                                   bool RecentlyRecovered) {
+                                   bool RecentlyRecovered, const char *Source) {
   this->noteEra(Batch.Era);
   // A page that the store returned before a peer reported a later era.
   if (Batch.Era < *this->LatestEra)
@@ -237,7 +237,9 @@
   this->Cache.enterEra(Topic, Batch.Era);
   switch (Topic) {
   case StoreTopic::Operators:
-    this->applyOperatorRecords(Batch.Records, Batch.Next);
+    // Before the table, with which the host becomes ready.
+    this->applyEvacuations(Batch, Source);
+    this->applyOperatorRecords(Batch);
     break;
   case StoreTopic::RolloutStates:
     this->applyRolloutStates(Batch.Records, Batch.Next);
@@ -261,7 +263,7 @@
     // ones.
     if (Batch.Next == NoOffset || Batch.position() < Follower.position())
       return false;
-    this->applyBatch(Topic, Batch, Records.StoreRecentlyRecovered);
+    this->applyBatch(Topic, Batch, Records.StoreRecentlyRecovered, "peer");
     Follower.skipTo(Batch.position());
     return true;
   };
--- a/src/edge/edge_serve.cpp
+++ b/src/edge/edge_serve.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// The directory names no host whose last state is older. A state that other
+/// hosts relay can be older than the liveness timeout.
+constexpr absl::Duration MaxNamedHostAge = absl::Seconds(5);
+
 std::string queryValue(const std::string &Target, const std::string &Name) {
   size_t QueryStart = Target.find('?');
   if (QueryStart == std::string::npos)
@@ -52,13 +56,19 @@
   Query.Region =
       queryValue(Request.Target, this->Platform.Codec.RegionParameter);
   Query.Regions = &this->Config.Regions;
+  if (this->Table)
+    Query.Allowed = regionsOfHost(
+        *this->Table,
+        queryValue(Request.Target, this->Platform.Codec.NameParameter));
   std::vector<PeerState> Hosts;
   PeerState Self = this->Peers.self();
   Self.Ready = this->ready();
   Self.Leaving = this->Leaving;
   Hosts.push_back(Self);
-  for (const Peer *Live : this->Peers.live(this->Timer.now()))
-    Hosts.push_back(Live->State);
+  Instant Now = this->Timer.now();
+  for (const Peer *Live : this->Peers.live(Now))
+    if (Now - Live->SentAt < MaxNamedHostAge)
+      Hosts.push_back(Live->State);
   std::vector<Endpoint> Addresses;
   for (uint32_t Ip : hostsFor(Query, Hosts))
     Addresses.push_back({formatIp(Ip), this->Config.Callers.Port});
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -74,8 +74,9 @@
   };
   this->addQuarantineHooks(Hooks);
   Hooks.ChoosePeer = [this](const Replica &Target,
-                            const std::vector<Endpoint> &Tried) {
-    return this->choosePeer(Target, Tried);
+                            const std::vector<Endpoint> &Tried,
+                            const AllowedRegions &Regions) {
+    return this->choosePeer(Target, Tried, Regions);
   };
   Hooks.OnPeerFailed = [this](const Endpoint &Peer) {
     this->FailedPeers[parseIp(Peer.Ip)] = this->Timer.now();
@@ -176,7 +177,8 @@
                                const VersionId &Target) {
     std::pair<size_t, size_t> Counts{0, 0};
     for (const ReplicaPtr &Candidate : this->Registry.replicasOf(Service))
-      if (!Candidate->Entry.Draining && !Candidate->Removed)
+      if (!Candidate->Entry.Draining && !Candidate->Removed &&
+          !Candidate->Evacuated)
         (Candidate->Entry.Version == Target ? Counts.first : Counts.second) +=
             1;
     return Counts;
@@ -271,18 +273,18 @@
        absl::ZeroDuration(), MaxTableBackoff},
       [this](const StorePage &Page, bool IsSnapshot) {
         this->applyBatch(StoreTopic::Operators, batchOf(Page, IsSnapshot),
-                         false);
+                         false, "store");
         this->pauseAfterFirstRead(this->Operators, IsSnapshot);
       });
-  this->States =
-      StartFollower({StoreTopic::RolloutStates, "rollout_states",
-                     this->Settings.RolloutStatePollTimeout,
-                     absl::ZeroDuration(), MaxTableBackoff},
-                    [this](const StorePage &Page, bool IsSnapshot) {
-                      this->applyBatch(StoreTopic::RolloutStates,
-                                       batchOf(Page, IsSnapshot), false);
-                      this->pauseAfterFirstRead(this->States, IsSnapshot);
-                    });
+  this->States = StartFollower(
+      {StoreTopic::RolloutStates, "rollout_states",
+       this->Settings.RolloutStatePollTimeout, absl::ZeroDuration(),
+       MaxTableBackoff},
+      [this](const StorePage &Page, bool IsSnapshot) {
+        this->applyBatch(StoreTopic::RolloutStates, batchOf(Page, IsSnapshot),
+                         false, "store");
+        this->pauseAfterFirstRead(this->States, IsSnapshot);
+      });
   absl::Duration Period =
       std::max(this->Settings.ReplicaReadInterval,
                this->Config.Bounds.DrainTimeout * ReadIntervalFraction);
@@ -291,7 +293,7 @@
        FrequentProbeDelay, /*ProbesWhilePaused=*/true},
       [this](const StorePage &Page, bool IsSnapshot) {
         this->applyBatch(StoreTopic::Replicas, batchOf(Page, IsSnapshot),
-                         this->storeRecentlyRecovered());
+                         this->storeRecentlyRecovered(), "store");
         if (!this->Table)
           this->resumeTableFollowers();
         this->Operators->retryNow();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -46,6 +46,8 @@
   ChoiceSettings choiceSettings() const {
     ChoiceSettings Result;
     Result.OwnPlace = this->Config.Place;
+    for (const auto &[Place, Region] : this->Config.Regions)
+      Result.Regions[Place] = RegionId(Region);
     for (const auto &[Place, Region] : this->Config.Regions)
       if (Region == this->Config.Region && Place != this->Config.Place)
         Result.SameRegion.push_back(Place);
@@ -75,6 +77,8 @@
   void limitProbes();
   bool isSettling() const;
   void announceStoreRole(uint32_t Reader);
+  /// Whether a peer has announced newer records of the operators for a while.
+  bool hasNewerRecords() const;
   bool needsPeerRecords() const;
   void fetchFromReader(uint32_t Reader);
   PeerQuery peerQuery() const;
@@ -95,7 +99,8 @@
   void createQuarantine();
   void connectLimits();
   std::optional<Endpoint> choosePeer(const Replica &Target,
-                                     const std::vector<Endpoint> &Tried) const;
+                                     const std::vector<Endpoint> &Tried,
+                                     const AllowedRegions &Regions) const;
   void announcePaths();
   /// Tells the other hosts of a limit, and takes this host's part of it.
   void shareLimit(const NamedLimit &News);
@@ -105,8 +110,13 @@
   void onReport(const GossipReport &Report);
   void logLeavingReplica(const UpstreamId &Id, const char *Source) const;
 
-  void applyOperatorRecords(const std::vector<StoreRecord> &Records,
-                            Offset ReadTo);
+  void applyOperatorRecords(const RecordBatch &Batch);
+  void applyRollout(const StoreRecord &Record, Offset ReadTo);
+  /// Begins and ends evacuations as \p Batch states.
+  void applyEvacuations(const RecordBatch &Batch, const char *Source);
+  /// False when it was not in force.
+  bool endEvacuation(const std::string &Key, const RecordBatch &Batch,
+                     const char *Source);
   void applyTable(const StoreRecord &Record, Offset ReadTo);
   void applyRolloutStates(const std::vector<StoreRecord> &Records,
                           Offset ReadTo);
@@ -114,7 +124,7 @@
   void findLostStates(const RecordBatch &Snapshot);
   /// Applies a batch that the store or a peer returned.
   void applyBatch(StoreTopic Topic, const RecordBatch &Batch,
-                  bool RecentlyRecovered);
+                  bool RecentlyRecovered, const char *Source);
   /// Writes this host's record again when the store entered a later era.
   void noteEra(StoreEra Era);
   StoreFollower &follower(StoreTopic Topic) const;
@@ -166,13 +176,18 @@
   RouteTablePtr Table;
   RecordCache Cache;
   std::set<std::string> SkippedKeys;
+  /// The era in which the evacuation of a data centre was last stated, by the
+  /// key of its record.
+  std::map<std::string, StoreEra> Evacuations;
   /// The latest era of the store that a page or a peer stated.
   std::optional<StoreEra> LatestEra;
   /// Until when a host that has just started waits for gossip of a reader, at
   /// most and if it knows no host with a lower address.
   Instant SettledAt;
   Instant ClaimAt;
-  Instant NewerTableSince;
+  Instant NewerRecordsSince;
+  /// The last records were requested from a peer that announced newer ones.
+  bool AsksNewer = false;
   Instant DirectReadUntil;
   Instant DirectReadSince;
   /// When the replica entries received from a peer were read from the store.
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -60,6 +60,12 @@
   this->Counters.count(Counter::PeerExchanges);
 }
 
+void PeerLink::broadcastState() {
+  this->broadcast(this->Peers.encode(this->Timer.now()),
+                  [](const PlaceId &) { return true; });
+  this->Counters.count(Counter::PeerExchanges);
+}
+
 void PeerLink::sendTo(uint32_t Ip, const std::string &Datagram) {
   boost::system::error_code Error;
   udp::endpoint Address(boost::asio::ip::address_v4(Ip),
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -26,6 +26,8 @@
   void close();
   /// Sends this host's state to a few peers.
   void sendState();
+  /// Sends this host's state to all live peers.
+  void broadcastState();
   /// Sends a report to the hosts that it concerns: prefill work to those in
   /// the replica's data centre \p Place, a leaving replica to this region, all
   /// else to all hosts.
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -20,7 +20,11 @@
         Settings(std::move(Settings)), Hooks(std::move(Hooks)),
         Pool(this->Settings.MaxIdleTime),
         Paths(std::make_shared<PathController>(Loop, Timer, Registry)) {
-    this->Paths->ChoosePeer = this->Hooks.ChoosePeer;
+    // Checks of paths send no request.
+    this->Paths->ChoosePeer = [this](const Replica &Target,
+                                     const std::vector<Endpoint> &Tried) {
+      return this->Hooks.ChoosePeer(Target, Tried, std::nullopt);
+    };
     this->Paths->OnLost = [this](bool Hangs) { this->onPathLost(Hangs); };
   }
 
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -101,6 +101,9 @@
                  requestIdentity(this->Request, this->Workspace.Id)};
   this->Service =
       pickService(*this->MatchedRoute, hashToUnitInterval(this->RequestId));
+  this->Regions =
+      combineRegions(this->MatchedRoute->Regions, this->Workspace.Regions);
+  this->RegionsOfReplicas = this->Core.Registry.regionRule(this->Regions);
   const std::string *Session = findHeader(this->Request.Headers, Names.Session);
   const std::string &DrawKey = Session != nullptr ? *Session : this->RequestId;
   this->VersionDraw = hashToUnitInterval(absl::StrCat("version/", DrawKey));
@@ -166,6 +169,7 @@
                             ? PrefillRateEstimator().msPerToken()
                             : Rate->second.msPerToken();
   }
+  Result.Regions = this->RegionsOfReplicas;
   Result.Tried = this->TriedReplicas;
   Result.Now = this->now();
   if (!this->Core.Registry.limits().empty())
@@ -226,8 +230,7 @@
                         AvailableAt - Query.Now);
       return;
     }
-    this->failRequest(RefusalKind::NoReplica,
-                      "no replica of the service is available");
+    this->refuseWithoutReplica(Query);
     return;
   }
   bool Overloaded = this->Core.Registry.utilization(this->choiceQuery()) >
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -63,6 +63,8 @@
   /// 0 is the most urgent.
   int priority() const;
   bool mayRetry() const;
+  /// Ends a request that no replica may serve now.
+  void refuseWithoutReplica(const ChoiceQuery &Query);
 
   void onAttemptRejected(Attempt &Source, Outcome Result);
   /// Opens the connection of an attempt, or takes an idle one.
@@ -118,6 +120,9 @@
   const Route *MatchedRoute = nullptr;
   WorkspaceInfo Workspace;
   ServiceId Service;
+  /// The regions that the route and the workspace allow.
+  AllowedRegions Regions;
+  RegionRule RegionsOfReplicas;
   /// Same for all requests of a session, in [0, 1).
   double VersionDraw = 0;
   std::string RequestId;
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -23,7 +23,8 @@
     return;
   }
   if (this->Execution.provablyNotExecuted()) {
-    bool Busy = Kind != RefusalKind::NoReplica;
+    bool Busy =
+        Kind != RefusalKind::NoReplica && Kind != RefusalKind::NoAllowedRegion;
     if (RetryAfter == absl::ZeroDuration())
       RetryAfter = Busy ? RetryDelayWhenBusy : RetryDelayWhenStarting;
     this->refuse(Busy ? RefusalKind::Overloaded : Kind, Detail, RetryAfter);
@@ -32,6 +33,24 @@
   this->refuse(RefusalKind::UpstreamFailed, Detail, absl::ZeroDuration());
 }
 
+void Relay::refuseWithoutReplica(const ChoiceQuery &Query) {
+  if (!Query.Regions.Binds) {
+    this->failRequest(RefusalKind::NoReplica,
+                      "no replica of the service is available");
+    return;
+  }
+  Json::Value Line(Json::objectValue);
+  Line["request"] = this->RequestId;
+  Line["route"] = this->MatchedRoute->Name;
+  Line["regions"] = Json::Value(Json::arrayValue);
+  for (const RegionId &Region : *this->Regions)
+    Line["regions"].append(Region.text());
+  logEvent(LogLevel::Warn, "no_allowed_region", Line);
+  this->failRequest(RefusalKind::NoAllowedRegion,
+                    "no replica of the service is available in the regions "
+                    "that the route and the workspace allow");
+}
+
 void Relay::refuse(RefusalKind Kind, const std::string &Detail,
                    absl::Duration RetryAfter) {
   Refusal RefusalBody;
--- a/src/exchange/relay_path.cpp
+++ b/src/exchange/relay_path.cpp
@@ -56,9 +56,12 @@
 void Relay::connectAttempt(Attempt &NewAttempt, bool MayReuse) {
   const Replica &Target = *NewAttempt.TargetReplica;
   if (this->AvoidsDirectPath || this->Core.Paths->isLost(Target))
-    NewAttempt.Peer = this->Core.Hooks.ChoosePeer(Target, this->TriedPeers);
+    NewAttempt.Peer =
+        this->Core.Hooks.ChoosePeer(Target, this->TriedPeers, this->Regions);
   bool OverPeer = NewAttempt.Peer.has_value();
-  if (MayReuse)
+  // An idle connection may lead over a host in another region.
+  bool MayTakeAnyPeer = !OverPeer || !this->Regions;
+  if (MayReuse && MayTakeAnyPeer)
     NewAttempt.Connection =
         this->Core.Pool.acquire(Target.Entry.Id, OverPeer, this->now());
   if (NewAttempt.Connection != nullptr) {
--- a/src/gossip/codec.h
+++ b/src/gossip/codec.h
@@ -15,9 +15,15 @@
 /// The entries of an array; throws unless it has \p Size entries.
 const msgpack::object *arrayFields(const msgpack::object &Value, uint32_t Size);
 
-void packState(Packer &Writer, const PeerState &State);
+/// A state and the time since its host sent it.
+struct AgedState {
+  PeerState State;
+  absl::Duration Age;
+};
+
+void packState(Packer &Writer, const PeerState &State, absl::Duration Age);
 /// Throws when the state is malformed.
-PeerState unpackState(const msgpack::object &Value);
+AgedState unpackState(const msgpack::object &Value);
 
 } // namespace berylramp
 
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// Version of the datagram layout; datagrams of other versions are ignored.
-constexpr int LayoutVersion = 4;
+constexpr int LayoutVersion = 5;
 /// Fits one Ethernet frame together with the protocol headers.
 constexpr size_t MaxDatagramBytes = 1350;
 /// A peer that was not seen for this long does not count as live. Equals eight
@@ -41,19 +41,19 @@
     std::swap(Others[Index - 1], Others[randomUint64() % Index]);
   std::vector<msgpack::sbuffer> EncodedStates;
   size_t Bytes = 0;
-  auto Add = [&](const PeerState &State) {
+  auto Add = [&](const PeerState &State, absl::Duration Age) {
     msgpack::sbuffer Encoded;
     Packer Writer(Encoded);
-    packState(Writer, State);
+    packState(Writer, State, Age);
     if (!EncodedStates.empty() && Bytes + Encoded.size() > MaxDatagramBytes)
       return false;
     Bytes += Encoded.size();
     EncodedStates.push_back(std::move(Encoded));
     return true;
   };
-  Add(this->Self);
+  Add(this->Self, absl::ZeroDuration());
   for (const Peer *Other : Others)
-    if (!Add(Other->State))
+    if (!Add(Other->State, Now - Other->SentAt))
       break;
   msgpack::sbuffer Datagram;
   Packer Writer(Datagram);
@@ -72,18 +72,18 @@
     if (Top[0].as<int>() != LayoutVersion ||
         Top[1].type != msgpack::type::ARRAY)
       return false;
-    std::vector<PeerState> States;
+    std::vector<AgedState> States;
     for (uint32_t Index = 0; Index < Top[1].via.array.size; ++Index)
       States.push_back(unpackState(Top[1].via.array.ptr[Index]));
-    for (const PeerState &State : States)
-      this->apply(State, Now);
+    for (const AgedState &Received : States)
+      this->apply(Received.State, Received.Age, Now);
     return true;
   } catch (const std::exception &) {
     return false;
   }
 }
 
-void PeerTable::apply(const PeerState &State, Instant Now) {
+void PeerTable::apply(const PeerState &State, absl::Duration Age, Instant Now) {
   if (State.Ip == this->Self.Ip || State.Ip == 0)
     return;
   Peer &Known = this->Peers[State.Ip];
@@ -93,6 +93,7 @@
     this->keepReports(Known.State);
   Known.State = State;
   Known.LastSeen = Now;
+  Known.SentAt = Now + -Age;
 }
 
 void PeerTable::keepReports(const PeerState &Former) {
--- a/src/gossip/state_codec.cpp
+++ b/src/gossip/state_codec.cpp
@@ -43,7 +43,7 @@
   Writer.pack(Report.FullTrafficMs);
 }
 
-constexpr uint32_t StateFields = 10;
+constexpr uint32_t StateFields = 13;
 
 AnswerTally unpackTally(const msgpack::object *Fields) {
   return {Fields[0].as<int64_t>(), Fields[1].as<int64_t>(),
@@ -104,7 +104,7 @@
   return Value.via.array.ptr;
 }
 
-void packState(Packer &Writer, const PeerState &State) {
+void packState(Packer &Writer, const PeerState &State, absl::Duration Age) {
   Writer.pack_array(StateFields);
   Writer.pack(State.Ip);
   Writer.pack(State.IncarnationId.count());
@@ -115,12 +115,15 @@
   Writer.pack(State.LostPaths);
   Writer.pack(static_cast<int>(State.Store));
   Writer.pack(State.Table.count());
+  Writer.pack(State.Operators.Era.count());
+  Writer.pack(State.Operators.Next.count());
+  Writer.pack(absl::ToInt64Milliseconds(Age));
   Writer.pack_array(static_cast<uint32_t>(State.Rollouts.size()));
   for (const RolloutReport &Report : State.Rollouts)
     packReport(Writer, Report);
 }
 
-PeerState unpackState(const msgpack::object &Value) {
+AgedState unpackState(const msgpack::object &Value) {
   const msgpack::object *Fields = arrayFields(Value, StateFields);
   PeerState State;
   State.Ip = Fields[0].as<uint32_t>();
@@ -132,12 +135,15 @@
   State.LostPaths = Fields[6].as<bool>();
   State.Store = unpackStoreRole(Fields[7]);
   State.Table = TableVersion(Fields[8].as<int64_t>());
-  const msgpack::object &Reports = Fields[9];
+  State.Operators = {StoreEra(Fields[9].as<int64_t>()),
+                     Offset(Fields[10].as<int64_t>())};
+  absl::Duration Age = absl::Milliseconds(Fields[11].as<int64_t>());
+  const msgpack::object &Reports = Fields[12];
   if (Reports.type != msgpack::type::ARRAY)
     throw msgpack::type_error();
   for (uint32_t Index = 0; Index < Reports.via.array.size; ++Index)
     State.Rollouts.push_back(unpackReport(Reports.via.array.ptr[Index]));
-  return State;
+  return {std::move(State), std::max(Age, absl::ZeroDuration())};
 }
 
 } // namespace berylramp
--- a/src/refusal/refusal.cpp
+++ b/src/refusal/refusal.cpp
@@ -74,6 +74,9 @@
     {RefusalKind::InputQuarantined, "input_quarantined", 503,
      "change the request: replicas ended under it or a segment of its prompt; "
      "operators: see the event input_quarantined"},
+    {RefusalKind::NoAllowedRegion, "no_allowed_region", 503,
+     "retry after the stated time; operators: add replicas in a region that "
+     "the route and the workspace both allow, or end an evacuation there"},
     {RefusalKind::Internal, "internal", 500,
      "report the request id to the operators"},
 }};
--- a/src/routes/routes.cpp
+++ b/src/routes/routes.cpp
@@ -49,6 +49,38 @@
   return Found == Table.Keys.end() ? nullptr : &Table.Workspaces[Found->second];
 }
 
+AllowedRegions combineRegions(const AllowedRegions &A,
+                              const AllowedRegions &B) {
+  if (!A || !B)
+    return A ? A : B;
+  AllowedRegions Both{std::vector<RegionId>()};
+  for (const RegionId &Region : *A)
+    if (allowsRegion(B, Region))
+      Both->push_back(Region);
+  return Both;
+}
+
+bool allowsRegion(const AllowedRegions &Regions, const RegionId &Region) {
+  return !Regions ||
+         std::find(Regions->begin(), Regions->end(), Region) != Regions->end();
+}
+
+AllowedRegions regionsOfHost(const RouteTable &Table, absl::string_view Host) {
+  auto Found = Table.RoutesByHost.find(Host);
+  if (Found == Table.RoutesByHost.end())
+    return std::nullopt;
+  AllowedRegions All;
+  std::vector<RegionId> Any;
+  for (size_t Index : Found->second) {
+    const AllowedRegions &Stated = Table.Routes[Index].Regions;
+    if (!Stated)
+      continue;
+    All = combineRegions(All, Stated);
+    Any.insert(Any.end(), Stated->begin(), Stated->end());
+  }
+  return All && All->empty() ? AllowedRegions(Any) : All;
+}
+
 int mostUrgentPriority(const RouteTable &Table, const ServiceId &Service) {
   int Lowest = std::numeric_limits<int>::max();
   for (const Route &Candidate : Table.Routes)
--- a/src/upstreams/choice.cpp
+++ b/src/upstreams/choice.cpp
@@ -54,6 +54,11 @@
   return Slice.empty() ? Group : Slice;
 }
 
+bool allows(const RegionRule &Rule, const std::optional<size_t> &Region) {
+  return !Rule.Binds ||
+         (Region && *Region < Rule.Allowed.size() && Rule.Allowed[*Region]);
+}
+
 uint64_t mixHashes(uint64_t A, uint64_t B) {
   constexpr uint64_t GoldenRatio = 0x9E3779B97F4A7C15ULL;
   uint64_t Mixed = (A ^ (B + GoldenRatio + (A << 6) + (A >> 2))) * GoldenRatio;
@@ -76,6 +81,7 @@
                                   const ChoiceQuery &Query) const {
   bool Expired = Candidate.Removed && !(Query.Now < Candidate.UsableUntil);
   return !Expired && !Candidate.Leaving && !Candidate.Entry.Draining &&
+         !Candidate.Evacuated && allows(Query.Regions, Candidate.Region) &&
          allows(Query.Rule, Candidate.Entry.Version) &&
          !contains(Query.Tried, Candidate.Entry.Id);
 }
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -18,6 +18,32 @@
   return {Target.IdHash, Target.Entry.StartedAtMs, Target.Entry.Place};
 }
 
+UpstreamRegistry::UpstreamRegistry(ChoiceSettings Settings)
+    : Settings(std::move(Settings)) {
+  for (const auto &[Place, Region] : this->Settings.Regions)
+    this->RegionNumbers.try_emplace(Region, this->RegionNumbers.size());
+}
+
+RegionRule UpstreamRegistry::regionRule(const AllowedRegions &Regions) const {
+  RegionRule Rule;
+  if (!Regions)
+    return Rule;
+  Rule.Binds = true;
+  Rule.Allowed.resize(this->RegionNumbers.size());
+  for (const RegionId &Region : *Regions) {
+    auto Known = this->RegionNumbers.find(Region);
+    if (Known != this->RegionNumbers.end())
+      Rule.Allowed[Known->second] = true;
+  }
+  return Rule;
+}
+
+void UpstreamRegistry::setEvacuated(std::set<PlaceId> Places) {
+  this->Evacuated = std::move(Places);
+  for (const auto &[Text, Record] : this->ById)
+    Record->Evacuated = this->Evacuated.count(Record->Entry.Place) > 0;
+}
+
 void UpstreamRegistry::put(const ReplicaEntry &Entry, Instant Now) {
   ReplicaPtr &Slot = this->ById[Entry.Id.text()];
   bool Restarted =
@@ -42,6 +68,12 @@
   }
   Slot->Entry = Entry;
   Slot->Removed = false;
+  Slot->Evacuated = this->Evacuated.count(Entry.Place) > 0;
+  auto Region = this->Settings.Regions.find(Entry.Place);
+  Slot->Region =
+      Region == this->Settings.Regions.end()
+          ? std::nullopt
+          : std::make_optional(this->RegionNumbers.at(Region->second));
 }
 
 bool UpstreamRegistry::isOutdated(const ReplicaEntry &Entry) const {
--- a/test/edge_parts_test.cpp
+++ b/test/edge_parts_test.cpp
@@ -56,6 +56,26 @@
         std::vector<uint32_t>{3});
 }
 
+TEST_CASE("Callers without near hosts are named those in allowed regions") {
+  DirectoryQuery Query;
+  Query.Place = PlaceId("a1");
+  Query.Region = "a";
+  std::map<PlaceId, std::string> Three = Regions;
+  Three[PlaceId("c1")] = "c";
+  Query.Regions = &Three;
+  Query.Allowed = {{RegionId("c")}};
+  std::vector<PeerState> Hosts = {makeHost(1, "b1"), makeHost(2, "c1"),
+                                  makeHost(3, "unknown")};
+  CHECK(hostsFor(Query, Hosts) == std::vector<uint32_t>{2});
+  Hosts.push_back(makeHost(4, "a2"));
+  CHECK(hostsFor(Query, Hosts) == std::vector<uint32_t>{2, 4});
+  Hosts.push_back(makeHost(5, "a1"));
+  CHECK(hostsFor(Query, Hosts) == std::vector<uint32_t>{4, 5});
+  // Any host is better than none.
+  Query.Allowed = {{RegionId("d")}};
+  CHECK(hostsFor(Query, {makeHost(1, "b1"), makeHost(2, "c1")}).size() == 2);
+}
+
 TEST_CASE("The current reader of a region stays the reader") {
   PeerState A = makeHost(1, "a1");
   PeerState B = makeHost(2, "a1");
--- a/test/edge_peers_test.cpp
+++ b/test/edge_peers_test.cpp
@@ -296,3 +296,40 @@
     return this->Hosts[0].Store->newest("keyed.hosts", "host-1") == "127.0.0.1";
   }));
 }
+
+// Peers announced only newer tables, so an evacuation stayed unknown where the
+// store was out of reach.
+TEST_CASE_METHOD(PeersFixture,
+                 "An evacuation reaches a host that the store refuses") {
+  this->start();
+  this->waitForSingleReader();
+  TestHost &Refused = this->Hosts[GENERATE(0, 1)];
+  Refused.Store->Behavior = StoreBehavior::Refuses;
+  this->put("keyed.op", "evacuate/zone-a", "{}");
+  for (TestHost &Host : this->Hosts)
+    CHECK(this->runUntil(
+        [&] { return this->requestStatus(Host, "key-1") == 503; }));
+  this->put("keyed.op", "evacuate/zone-a", std::nullopt);
+  for (TestHost &Host : this->Hosts)
+    CHECK(this->waitUntilServing(Host, "key-1"));
+}
+
+TEST_CASE_METHOD(PeersFixture,
+                 "A host that starts without the store learns an evacuation") {
+  this->put("keyed.op", "evacuate/zone-a", "{}");
+  this->Hosts[1].Store->Behavior = StoreBehavior::Silent;
+  this->start();
+  auto IsReady = [&](TestHost &Host) {
+    RawCaller Probe(this->Loop, Host.Config.Ready);
+    Probe.send("GET /berylramp/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    this->runUntil(
+        [&] { return Probe.hasCompleteAnswer() || Probe.isClosed(); });
+    return Probe.status() == 200;
+  };
+  for (TestHost &Host : this->Hosts) {
+    REQUIRE(this->runUntil([&] { return IsReady(Host); }));
+    CHECK(this->requestStatus(Host, "key-1") == 503);
+  }
+  for (const auto &Instance : this->PlainReplicas)
+    CHECK(Instance->ArrivedRequests == 0);
+}
--- a/test/gossip_test.cpp
+++ b/test/gossip_test.cpp
@@ -186,3 +186,20 @@
   CHECK(Peers.live(atSecond(0)).empty());
   CHECK(Peers.targets(3, atSecond(0)) == std::vector<uint32_t>{2});
 }
+
+TEST_CASE("The position in the operators' records and its age spread") {
+  PeerTable A(makeState(1));
+  PeerTable B(makeState(2));
+  PeerTable C(makeState(3));
+  A.self().Operators = {StoreEra(2), Offset(40)};
+  REQUIRE(B.merge(A.encode(atSecond(0)), atSecond(0)));
+  // Relayed by a host that has not heard of it since.
+  REQUIRE(C.merge(B.encode(atSecond(3)), atSecond(3)));
+  const Peer *Relayed = nullptr;
+  for (const Peer *Other : C.live(atSecond(3)))
+    if (Other->State.Ip == 1)
+      Relayed = Other;
+  REQUIRE(Relayed != nullptr);
+  CHECK(Relayed->State.Operators == StorePosition{StoreEra(2), Offset(40)});
+  CHECK(Relayed->SentAt.SinceStart == atSecond(0).SinceStart);
+}
--- a/test/paths_test.cpp
+++ b/test/paths_test.cpp
@@ -190,3 +190,24 @@
   Query.Excluded.clear();
   CHECK(tunnelCandidates(Query, Hosts) == std::vector<uint32_t>{3});
 }
+
+TEST_CASE("A tunnel leads over hosts in allowed regions only") {
+  std::map<PlaceId, std::string> Regions = {{PlaceId("a"), "x"},
+                                            {PlaceId("b"), "y"}};
+  std::vector<PeerState> States(3);
+  const std::vector<std::string> Places = {"a", "b", "unknown"};
+  std::vector<const PeerState *> Hosts;
+  for (size_t Index = 0; Index < States.size(); ++Index) {
+    States[Index].Ip = static_cast<uint32_t>(Index + 1);
+    States[Index].Place = PlaceId(Places[Index]);
+    States[Index].Ready = true;
+    Hosts.push_back(&States[Index]);
+  }
+  TunnelQuery Query{PlaceId("a"), PlaceId("b"), &Regions, {}, {}};
+  Query.Allowed = {{RegionId("x")}};
+  CHECK(tunnelCandidates(Query, Hosts) == std::vector<uint32_t>{1});
+  Query.Allowed = {{RegionId("z")}};
+  CHECK(tunnelCandidates(Query, Hosts).empty());
+  Query.Allowed.emplace();
+  CHECK(tunnelCandidates(Query, Hosts).empty());
+}
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -56,6 +56,35 @@
   CHECK(Table->service(ServiceId("engine"))->Prices.size() == 2);
 }
 
+TEST_CASE("Regions are decoded and malformed ones allow nothing") {
+  auto Decode = [](const std::string &Field) {
+    auto Table = decodeTable(
+        R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",)"
+        R"("service":"s")" +
+        Field + R"(}],"tenants":[{"name":"t")" + Field + "}]}");
+    REQUIRE(Table.ok());
+    CHECK(Table->Routes[0].Regions == Table->Workspaces[0].Regions);
+    return Table->Routes[0].Regions;
+  };
+  CHECK(Decode("") == std::nullopt);
+  CHECK(Decode(R"(,"allowedRegions":[])") == std::nullopt);
+  CHECK(Decode(R"(,"allowedRegions":null)") == std::nullopt);
+  CHECK(Decode(R"(,"allowedRegions":["x","y"])") ==
+        AllowedRegions({RegionId("x"), RegionId("y")}));
+  CHECK(Decode(R"(,"allowedRegions":["x",7])") ==
+        AllowedRegions({RegionId("x")}));
+  for (const char *Malformed : {"7", "\"x\"", "{}", "[7]", "[\"\"]", "[[]]"})
+    CHECK(Decode(std::string(",\"allowedRegions\":") + Malformed) ==
+          AllowedRegions(std::vector<RegionId>()));
+}
+
+TEST_CASE("Keys of evacuations name a data centre") {
+  CHECK(classifyOperatorKey("evacuate/z1") == OperatorKey::Evacuation);
+  CHECK(*decodeEvacuationKey("evacuate/z1") == PlaceId("z1"));
+  CHECK_FALSE(decodeEvacuationKey("evacuate/").ok());
+  CHECK_FALSE(decodeEvacuationKey("z1").ok());
+}
+
 TEST_CASE("A stream that may not be resumed runs at most once") {
   auto Table = decodeTable(
       R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",)"
--- a/test/routes_test.cpp
+++ b/test/routes_test.cpp
@@ -61,3 +61,34 @@
     RC_ASSERT(Weights[std::stoul(Picked.text())] > 0);
   });
 }
+
+TEST_CASE("Regions of a route and of a workspace both bind") {
+  auto List = [](const std::vector<std::string> &Names) {
+    AllowedRegions Regions{std::vector<RegionId>()};
+    for (const std::string &Name : Names)
+      Regions->emplace_back(Name);
+    return Regions;
+  };
+  CHECK(combineRegions({}, {}) == std::nullopt);
+  CHECK(combineRegions(List({"a"}), {}) == List({"a"}));
+  CHECK(combineRegions({}, List({"a", "b"})) == List({"a", "b"}));
+  CHECK(combineRegions(List({"a", "b"}), List({"b", "c"})) == List({"b"}));
+  CHECK(combineRegions(List({"a"}), List({"c"})) == List({}));
+  CHECK(combineRegions(List({}), {}) == List({}));
+  CHECK(allowsRegion({}, RegionId("a")));
+  CHECK(allowsRegion(List({"a"}), RegionId("a")));
+  CHECK_FALSE(allowsRegion(List({"a"}), RegionId("b")));
+  CHECK_FALSE(allowsRegion(List({}), RegionId()));
+}
+
+TEST_CASE("A host name has the regions that all its bound routes allow") {
+  RouteTable Table = makeTable({"/a/", "/b/", "/c/"});
+  CHECK(regionsOfHost(Table, "h") == std::nullopt);
+  CHECK(regionsOfHost(Table, "other") == std::nullopt);
+  Table.Routes[0].Regions = {{RegionId("x"), RegionId("y")}};
+  Table.Routes[1].Regions = {{RegionId("y")}};
+  CHECK(regionsOfHost(Table, "h") == AllowedRegions({RegionId("y")}));
+  Table.Routes[1].Regions = {{RegionId("z")}};
+  CHECK(regionsOfHost(Table, "h") ==
+        AllowedRegions({RegionId("x"), RegionId("y"), RegionId("z")}));
+}
--- a/test/upstreams_test.cpp
+++ b/test/upstreams_test.cpp
@@ -147,7 +147,7 @@
   Registry.put(makeEntry("far", "far"), atSecond(0));
   Registry.put(makeEntry("here"), atSecond(0));
   CHECK(Registry.choose(makeQuery(0)).Target->Entry.Id == UpstreamId("here"));
-  ReportedLoad Full{8, 0, 8, atSecond(0)};
+  ReportedLoad Full{8, 0, 8, 1, atSecond(0)};
   Registry.onLoadReport(*Registry.find(UpstreamId("here")), Full);
   CHECK(Registry.choose(makeQuery(0)).Target->Entry.Id == UpstreamId("far"));
 }
@@ -430,3 +430,51 @@
   CHECK(Steps == static_cast<int>(Shares.Slack));
   CHECK(Failures == 20);
 }
+
+TEST_CASE("Only replicas in allowed regions are eligible") {
+  ChoiceSettings Settings = makeSettings();
+  Settings.Regions = {{PlaceId("near"), RegionId("x")},
+                      {PlaceId("far"), RegionId("y")}};
+  UpstreamRegistry Registry(Settings);
+  Registry.put(makeEntry("here"), atSecond(0));
+  Registry.put(makeEntry("far", "far"), atSecond(0));
+  Registry.put(makeEntry("lost", "unknown"), atSecond(0));
+  ChoiceQuery Query = makeQuery(0);
+  auto Chosen = [&](const AllowedRegions &Regions) {
+    Query.Regions = Registry.regionRule(Regions);
+    ReplicaPtr Target = Registry.choose(Query).Target;
+    return Target ? Target->Entry.Id.text() : "";
+  };
+  CHECK(Chosen({}) == "here");
+  CHECK(Chosen({{RegionId("y")}}) == "far");
+  CHECK(Chosen({{RegionId("?"), RegionId("y")}}) == "far");
+  CHECK(Chosen({{RegionId("?")}}).empty());
+  CHECK(Chosen(AllowedRegions(std::vector<RegionId>())).empty());
+  Registry.pause(UpstreamId("far"), atSecond(5));
+  Query.Regions = Registry.regionRule({{RegionId("y")}});
+  CHECK(Registry.earliestAvailability(Query).SinceStart ==
+        atSecond(5).SinceStart);
+  Query.Regions = Registry.regionRule({{RegionId("x")}});
+  CHECK(Registry.earliestAvailability(Query).SinceStart ==
+        absl::InfiniteDuration());
+}
+
+TEST_CASE("Replicas of an evacuated data centre leave every sum") {
+  UpstreamRegistry Registry(makeSettings());
+  Registry.put(makeEntry("here"), atSecond(0));
+  Registry.put(makeEntry("far", "far"), atSecond(0));
+  Registry.onLoadReport(*Registry.find(UpstreamId("far")),
+                        {8, 0, 8, 1, atSecond(0)});
+  Registry.setEvacuated({PlaceId("near"), PlaceId("nowhere")});
+  CHECK(Registry.choose(makeQuery(0)).Target->Entry.Id == UpstreamId("far"));
+  CHECK(Registry.utilization(makeQuery(0)) == 1);
+  CHECK_FALSE(Registry.hasCapacity(makeQuery(0)));
+  // A replica that starts there, and one that moves there.
+  Registry.put(makeEntry("new"), atSecond(0));
+  Registry.put(makeEntry("far"), atSecond(0));
+  CHECK(Registry.choose(makeQuery(0)).Target == nullptr);
+  CHECK(Registry.earliestAvailability(makeQuery(0)).SinceStart ==
+        absl::InfiniteDuration());
+  Registry.setEvacuated({});
+  CHECK(Registry.hasCapacity(makeQuery(0)));
+}
