Decode load reports with four figures or more

Cause: a report needed exactly three values, so that one with a work time was dropped whole.

Change: the fourth value is the work time, later ones are ignored, negative or malformed ones reject the report with a counter (load_reports_rejected) and a log line once for each replica. expectedWorkTime falls back to 1 with a half-life of 100 ms, bounded to 0.2 to 10. A call in upstreams_test.cpp that the new field broke is mended.

--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -72,10 +72,11 @@
   RatingsReceived,
   HoldsTripped,
   ReplicaEjections,
-  PaidLinkBytes
+  PaidLinkBytes,
+  LoadReportsRejected
 };
 inline constexpr int CounterCount =
-    static_cast<int>(Counter::PaidLinkBytes) + 1;
+    static_cast<int>(Counter::LoadReportsRejected) + 1;
 
 /// Latency histograms, in seconds.
 enum class Latency {
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -6,6 +6,7 @@
 #include "path_controller.h"
 #include "upstream_connection.h"
 #include <map>
+#include <set>
 #include <unordered_set>
 
 namespace berylramp {
@@ -48,6 +49,8 @@
   /// By service and model.
   std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
   std::unordered_set<std::shared_ptr<Relay>> Active;
+  /// Replicas whose load reports were logged as unusable.
+  std::set<UpstreamId> LoggedLoads;
   /// Bytes of complete answers that are being received.
   size_t BufferedBytes = 0;
 };
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -37,6 +37,9 @@
 /// A replica that needs a longer pause is replaced.
 constexpr absl::Duration MaxPause = absl::Minutes(10);
 
+/// The figure of a replica on which work takes as long as usual.
+constexpr double UsualWorkPercent = 100;
+
 int64_t parseNumber(absl::string_view Text) {
   int64_t Value = 0;
   return absl::SimpleAtoi(Text, &Value) ? Value : 0;
@@ -159,9 +162,22 @@
 
 bool parseLoad(const std::string &Text, ReportedLoad &Load) {
   std::vector<absl::string_view> Values = absl::StrSplit(Text, ',');
-  return Values.size() == 3 && absl::SimpleAtoi(Values[0], &Load.Running) &&
-         absl::SimpleAtoi(Values[1], &Load.Waiting) &&
-         absl::SimpleAtoi(Values[2], &Load.Slots);
+  ReportedLoad Stated;
+  if (Values.size() < 3 || !absl::SimpleAtoi(Values[0], &Stated.Running) ||
+      !absl::SimpleAtoi(Values[1], &Stated.Waiting) ||
+      !absl::SimpleAtoi(Values[2], &Stated.Slots) || Stated.Running < 0 ||
+      Stated.Waiting < 0 || Stated.Slots < 0)
+    return false;
+  // Later values belong to newer versions of the replica's software.
+  if (Values.size() > 3) {
+    double Percent = 0;
+    if (!absl::SimpleAtod(Values[3], &Percent) || !std::isfinite(Percent) ||
+        Percent <= 0)
+      return false;
+    Stated.WorkTime = Percent / UsualWorkPercent;
+  }
+  Load = Stated;
+  return true;
 }
 
 std::optional<double> parseLimit(const std::string &Text) {
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -80,6 +80,9 @@
   void noteReplicaState(const Attempt &Source, const HttpHead &Head);
   /// Applies the limit that the replica names in \p Head, or that it names
   /// none.
+  /// Counts a load report that could not be decoded, and logs it once for each
+  /// replica.
+  void noteUnusableLoad(const Replica &Target, const std::string &Text);
   void noteReplicaLimit(const Attempt &Source, const HttpHead &Head);
   bool shouldEscalate(const HttpHead &Head);
   bool largerModelIsLate();
--- a/src/exchange/relay_state.cpp
+++ b/src/exchange/relay_state.cpp
@@ -6,6 +6,14 @@
 
 namespace berylramp {
 
+namespace {
+
+/// Replicas that are remembered so that each is logged once.
+constexpr size_t MaxLoggedLoads = 1024;
+constexpr size_t MaxLoggedLoadBytes = 64;
+
+} // namespace
+
 void Relay::noteReplicaState(const Attempt &Source, const HttpHead &Head) {
   const UpstreamId &Id = Source.TargetReplica->Entry.Id;
   const std::string *Leaving =
@@ -31,6 +39,20 @@
            Line);
 }
 
+void Relay::noteUnusableLoad(const Replica &Target, const std::string &Text) {
+  this->Core.Counters.count(Counter::LoadReportsRejected);
+  std::set<UpstreamId> &Logged = this->Core.LoggedLoads;
+  if (Logged.size() >= MaxLoggedLoads)
+    Logged.clear();
+  if (!Logged.insert(Target.Entry.Id).second)
+    return;
+  Json::Value Line(Json::objectValue);
+  Line["request"] = this->RequestId;
+  Line["replica"] = Target.Entry.Id.text();
+  Line["unusable_value"] = Text.substr(0, MaxLoggedLoadBytes);
+  logEvent(LogLevel::Warn, "replica_load", Line);
+}
+
 void Relay::noteReplicaLimit(const Attempt &Source, const HttpHead &Head) {
   ReplicaLimits &Limits = this->Core.Registry.limits();
   const HeaderNames &Names = this->Core.Settings.Names;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -51,7 +51,8 @@
     "ratings_received",
     "holds_tripped",
     "replica_ejections",
-    "bytes_across"};
+    "bytes_across",
+    "load_reports_rejected"};
 
 constexpr std::array<const char *, LatencyCount> LatencyNames = {
     "first_token", "between_tokens", "whole_request", "decision",
--- a/src/upstreams/estimators.cpp
+++ b/src/upstreams/estimators.cpp
@@ -3,6 +3,7 @@
 #include "berylramp/upstreams.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace berylramp {
 
@@ -24,6 +25,13 @@
 constexpr double InitialRateStep = 1.5;
 constexpr double MaxRateStep = 0.5;
 constexpr double RateQuantile = 0.3;
+/// Age at which half of a stated work time's deviation from the usual one is
+/// still expected. Replicas state a new one many times a second.
+constexpr absl::Duration WorkTimeHalfLife = absl::Milliseconds(100);
+/// Bounds of the stated work time.
+constexpr double MinWorkTime = 0.2;
+constexpr double MaxWorkTime = 10;
+
 } // namespace
 
 bool PrefixCacheEstimate::holds(uint64_t Id) const {
@@ -56,7 +64,9 @@
 }
 
 double expectedWorkTime(const ReportedLoad &Load, Instant Now) {
-  return Load.WorkTime;
+  double Ages = absl::FDivDuration(Now - Load.At, WorkTimeHalfLife);
+  double Stated = std::clamp(Load.WorkTime, MinWorkTime, MaxWorkTime);
+  return 1 + (Stated - 1) * std::exp2(-std::max(0.0, Ages));
 }
 
 double effectiveTokens(int64_t Tokens) {
--- a/test/exchange_test.cpp
+++ b/test/exchange_test.cpp
@@ -197,10 +197,19 @@
       0);
 }
 
-TEST_CASE("A reported load has three numbers") {
+TEST_CASE("A reported load has three numbers or more") {
   ReportedLoad Load;
   CHECK(parseLoad("3,1,8", Load));
   CHECK(Load.Waiting == 1);
+  CHECK(Load.WorkTime == 1);
+  CHECK(parseLoad("3,1,8,250", Load));
+  CHECK(Load.WorkTime == 2.5);
+  CHECK(parseLoad("4,1,8,50,x,7", Load));
+  CHECK(Load.WorkTime == 0.5);
+  for (const char *Unusable : {"5,1,8,", "5,1,8,x", "5,1,8,-100", "5,1,8,0",
+                               "5,1,8,inf", "5,1,8,nan", "-5,1,8", "5,-1,8"})
+    CHECK_FALSE(parseLoad(Unusable, Load));
+  CHECK(Load.Running == 4);
   CHECK_FALSE(parseLoad("3,1", Load));
   CHECK_FALSE(parseLoad("a,b,c", Load));
 }
--- a/test/upstreams_test.cpp
+++ b/test/upstreams_test.cpp
@@ -147,7 +147,7 @@
   Registry.put(makeEntry("far", "far"), atSecond(0));
   Registry.put(makeEntry("here"), atSecond(0));
   CHECK(Registry.choose(makeQuery(0)).Target->Entry.Id == UpstreamId("here"));
-  ReportedLoad Full{8, 0, 8, atSecond(0)};
+  ReportedLoad Full{8, 0, 8, 1, atSecond(0)};
   Registry.onLoadReport(*Registry.find(UpstreamId("here")), Full);
   CHECK(Registry.choose(makeQuery(0)).Target->Entry.Id == UpstreamId("far"));
 }
