Keep the warm-up rate of cold replicas over all hosts

Change: services state coldPerS and coldStartS, entries coldRemainingMs, settings coldOvershoot and coldSlack. limits divides the rate by rendezvous hash among few hosts of the replica's data centre; a part is a rate, and a burst that is also the most in any one second. A replica whose connection can't be opened is cold until the second later entry states otherwise. Before a host knows, a replica beyond the host's part of the bound is only a second choice.

Not done: a report of cold replicas between hosts, the soak's cold restarts.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -41,6 +41,10 @@
   /// The sliding window in which the operators count them.
   absl::Duration RetryWindow = absl::Seconds(10);
   ExposureBounds Exposure;
+  /// A cold replica receives at most ColdOvershoot times the rate that its
+  /// service tolerates and ColdSlack further requests in any second.
+  double ColdOvershoot = 1.5;
+  double ColdSlack = 5;
   /// Maximum time for which callers may cache an answer of the directory.
   absl::Duration MaxAddressTtl = absl::Seconds(5);
 };
--- a/include/berylramp/limits.h
+++ b/include/berylramp/limits.h
@@ -102,6 +102,35 @@
                       const std::vector<LimitMember> &Members,
                       const LimitMember &Self);
 
+/// The requests per second that a cold replica tolerates from all hosts.
+struct WarmupRate {
+  double PerSecond = 0;
+  /// The operators' bound for any one second is Overshoot times the rate and
+  /// Slack further requests.
+  double Overshoot = 1.5;
+  double Slack = 5;
+
+  double mostInOneSecond() const {
+    return this->PerSecond * this->Overshoot + this->Slack;
+  }
+  friend bool operator==(const WarmupRate &A, const WarmupRate &B) {
+    return A.PerSecond == B.PerSecond && A.Overshoot == B.Overshoot &&
+           A.Slack == B.Slack;
+  }
+};
+
+/// The part of \p Self in the requests that a cold replica tolerates. Its burst
+/// is also the most that the host may send in any one second.
+LimitPart partOfWarmup(const WarmupRate &Rate, const ReplicaProcess &Replica,
+                       const std::vector<LimitMember> &Members,
+                       const LimitMember &Self);
+
+/// The part of \p Self in the requests that a replica would tolerate if it
+/// turned cold unnoticed. All hosts have one.
+LimitPart partOfGuard(const WarmupRate &Rate, const ReplicaProcess &Replica,
+                      const std::vector<LimitMember> &Members,
+                      const LimitMember &Self);
+
 /// The number of requests that \p Self may have in progress at a brittle
 /// replica with \p Slots slots. The parts of all members together leave room
 /// for requests that end late. Hosts in the replica's data centre have most of
@@ -109,6 +138,18 @@
 int roomPart(int Slots, const ReplicaProcess &Replica,
              const std::vector<LimitMember> &Members, const LimitMember &Self);
 
+/// Requests that this host may send within a part.
+struct RequestBucket {
+  LimitPart Part;
+  double Balance = 0;
+  Instant BalanceAt;
+
+  double at(Instant Now) const;
+  /// The balance carries over as far as \p Changed can hold it.
+  void setPart(const LimitPart &Changed, Instant Now);
+  void take(Instant Now);
+};
+
 /// The limits of all replicas, and this host's part of each.
 class ReplicaLimits {
 public:
@@ -147,26 +188,54 @@
   /// this host has not observed it for a while.
   bool needsConfirmation(const ReplicaProcess &Replica, Instant Now) const;
   void onSent(const ReplicaProcess &Replica, Instant Now);
+
+  /// States the rate that a replica tolerates while it is cold.
+  void setWarmup(uint64_t Replica, const WarmupRate &Rate);
+  void clearWarmup(uint64_t Replica) { this->Warmups.erase(Replica); }
+  bool hasWarmups() const { return !this->Warmups.empty(); }
+  /// The replica is cold until \p Until; a time that has passed ends it.
+  void setColdUntil(uint64_t Replica, Instant Until, Instant Now);
+  bool isCold(uint64_t Replica, Instant Now) const;
+  /// Whether a further request of this host may be too much for a replica that
+  /// turned cold unnoticed.
+  bool isCrowded(uint64_t Replica, Instant Now) const;
   /// Up to \p MaxCount reports for another host, another part at each call.
   std::vector<NamedLimit> reports(size_t MaxCount);
 
 private:
   struct Entry {
     NamedLimit Named;
-    LimitPart Part;
+    RequestBucket Bucket;
     int Room = 0;
-    double Balance = 0;
-    Instant BalanceAt;
     Instant ChangedAt;
     Instant ObservedAt;
     /// When the replica was last known to this host.
     Instant KnownAt;
   };
+  struct Warmup {
+    WarmupRate Rate;
+    Instant ColdUntil;
+    RequestBucket Cold;
+    RequestBucket Guard;
+    /// When this host sent requests in the last second, while the replica was
+    /// cold.
+    std::vector<Instant> LastSent;
+
+    int sentInLastSecond(Instant Now) const;
+    /// When the host may send a request, as far as the last second matters.
+    Instant windowOpensAt(Instant Now) const;
+  };
   const Entry *find(const ReplicaProcess &Replica) const;
-  static double balanceAt(const Entry &Limited, Instant Now);
+  void onSentToWarmup(uint64_t Replica, Instant Now);
+  const Warmup *findCold(uint64_t Replica, Instant Now) const;
+  void divideWarmups(
+      const LimitMembers &Members,
+      const std::function<std::optional<LimitedReplica>(uint64_t)> &Find,
+      Instant Now);
   void apply(Entry &Limited, const NamedLimit &Report, Instant Now);
 
   absl::flat_hash_map<uint64_t, Entry> ByReplica;
+  absl::flat_hash_map<uint64_t, Warmup> Warmups;
   size_t NextReport = 0;
 };
 
--- a/include/berylramp/routes.h
+++ b/include/berylramp/routes.h
@@ -79,6 +79,11 @@
   /// Capacity of one engine's KV cache in tokens; 0 for a plain service.
   Tokens CacheTokens;
   std::vector<ModelPrice> Prices;
+  /// Requests per second that a cold upstream tolerates, summed over all hosts;
+  /// 0 when upstreams need no warm-up.
+  double ColdPerSecond = 0;
+  /// How long an upstream is cold after its start.
+  absl::Duration ColdTime;
 };
 
 /// Limits on a caller's requests and connections.
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -37,12 +37,22 @@
   int64_t StartedAtMs = 0;
   /// Counts the writes of the entry since the start of the replica.
   int64_t Sequence = 0;
+  /// How long the replica stays cold from the write of the entry on; nothing
+  /// when the entry states no usable time.
+  std::optional<absl::Duration> ColdRemaining;
 
-  /// Compares all fields but the sequence, which changes with each heartbeat.
+  bool isCold() const {
+    return this->ColdRemaining.value_or(absl::ZeroDuration()) >
+           absl::ZeroDuration();
+  }
+
+  /// Compares all fields but the sequence and the remaining cold time, which
+  /// change with each heartbeat.
   friend bool operator==(const ReplicaEntry &A, const ReplicaEntry &B) {
     return A.Id == B.Id && A.Service == B.Service && A.Address == B.Address &&
            A.Place == B.Place && A.Version == B.Version && A.Slots == B.Slots &&
-           A.Draining == B.Draining && A.StartedAtMs == B.StartedAtMs;
+           A.Draining == B.Draining && A.StartedAtMs == B.StartedAtMs &&
+           A.isCold() == B.isCold();
   }
 };
 
@@ -145,12 +155,44 @@
   /// Moving ratio of the measured to the expected time to the first byte.
   double LatencyRatio = 1;
   PrefixCacheEstimate CachedSegments;
+  /// Until when the replica is cold by its entry.
+  Instant ColdUntil;
+  /// Until when it counts as cold because it may have restarted unseen, unless
+  /// an entry with the sequence WarmSequence or a later one states otherwise.
+  Instant SuspectUntil;
+  int64_t WarmSequence = 0;
+  /// When it turned cold, if it was cold at the last look at all replicas.
+  std::optional<Instant> ColdSince;
 };
 
 using ReplicaPtr = std::shared_ptr<Replica>;
 
 ReplicaProcess processOf(const Replica &Target);
 
+/// How the replicas of a service warm up after a start.
+struct WarmupRule {
+  WarmupRate Rate;
+  /// How long a replica is cold after it started.
+  absl::Duration ColdTime;
+};
+
+/// Why a replica is cold.
+enum class ColdReason {
+  /// Its entry states it.
+  Stated,
+  /// It could not be reached, and may have restarted since.
+  Unreachable
+};
+
+/// A replica that turned cold or warm.
+struct WarmthChange {
+  UpstreamId Replica;
+  bool IsCold = false;
+  ColdReason Reason = ColdReason::Stated;
+  /// The remaining time of a cold replica, or for how long a warm one was cold.
+  absl::Duration Time;
+};
+
 /// Outcome of a request at a replica.
 enum class Outcome {
   Good,
@@ -337,6 +379,18 @@
   forgiveFailures(const std::function<bool(const Replica &)> &Matches) const;
   void onLoadReport(Replica &Target, const ReportedLoad &Load) const;
 
+  /// Replaces the rules of all services whose replicas warm up, by service id.
+  void setWarmupRules(absl::flat_hash_map<std::string, WarmupRule> Rules,
+                      Instant Now);
+  /// The replica wrote its entry again. True if it turned cold or warm, or
+  /// stays cold for longer than it stated before.
+  bool onHeartbeat(Replica &Target, const ReplicaEntry &Entry, Instant Now);
+  /// A connection to the replica could not be opened.
+  void onUnreachable(Replica &Target, Instant Now);
+  /// The replicas that turned cold or warm since the last call.
+  std::vector<WarmthChange> takeWarmthChanges(Instant Now) const;
+  size_t coldCount(Instant Now) const;
+
   /// The limits that replicas name, and this host's parts of them.
   ReplicaLimits &limits() { return this->Limits; }
   /// Another host was rejected by a brittle replica for want of room.
@@ -363,6 +417,10 @@
   bool hasRoom(const Replica &Candidate, Instant Now) const;
   /// Whether \p Query allows the replica, available or not.
   bool isEligible(const Replica &Candidate, const ChoiceQuery &Query) const;
+  const WarmupRule *warmupRuleOf(const Replica &Target) const;
+  /// Applies the remaining cold time that the replica's entry states.
+  void applyWarmth(Replica &Target, bool IsNew, Instant Now);
+  void updateWarmup(const Replica &Target, Instant Now);
   ReplicaNotice &noticeOf(const Replica &Target, Instant Now);
   void eject(Replica &Target, Instant Now) const;
   Choice chooseEngine(const ChoiceQuery &Query,
@@ -376,6 +434,7 @@
   absl::flat_hash_map<uint64_t, ReplicaPtr> ByHash;
   absl::flat_hash_map<std::string, ReplicaNotice> Notices;
   ReplicaLimits Limits;
+  absl::flat_hash_map<std::string, WarmupRule> WarmupRules;
 };
 
 } // namespace berylramp
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -36,6 +36,7 @@
   this->Relayer->setRetrySlack(this->retrySlackShare());
   this->Rollouts->tick(this->Peers);
   this->Quarantine->tick();
+  this->logWarmthChanges();
   this->divideLimits();
   this->detectHostPause();
 }
@@ -155,6 +156,9 @@
                     this->Shared->Relayer->hasLostPaths() ? 1.0 : 0.0});
   Gauges.push_back({"berylramp_replicas_known",
                     static_cast<double>(this->Shared->Registry.size())});
+  Gauges.push_back({"berylramp_replicas_cold",
+                    static_cast<double>(this->Shared->Registry.coldCount(
+                        this->Shared->Timer.now()))});
   Gauges.push_back({"berylramp_peers_known",
                     static_cast<double>(this->Shared->Peers.size())});
   RouteTablePtr Table = this->Shared->Table;
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -79,6 +79,7 @@
   Line["routes"] = Json::Int64(Decoded->Routes.size());
   this->Table = std::make_shared<RouteTable>(*std::move(Decoded));
   this->Peers.self().Table = this->Table->Version;
+  this->applyWarmupRules();
   this->Cache.put(StoreTopic::Operators, Record, ReadTo);
   this->Counters.count(Counter::EditsAccepted);
   logEvent(LogLevel::Info, "table_in_force", Line);
@@ -140,7 +141,9 @@
   if (Unchanged) {
     if (Entry->Sequence > Known->Entry.Sequence)
       this->Quarantine->onAlive(processHash(*Entry));
-    Known->Entry.Sequence = Entry->Sequence;
+    // Peers learn of a longer cold time as they learn of a changed entry.
+    if (this->Registry.onHeartbeat(*Known, *Entry, Now))
+      this->Cache.put(StoreTopic::Replicas, Record, ReadTo);
     return;
   }
   // A replica's heartbeats change only the text of its record; they are not
@@ -150,6 +153,8 @@
   Line["address"] = Entry->Address.text();
   Line["version"] = Entry->Version.text();
   Line["draining"] = Entry->Draining;
+  if (!Entry->ColdRemaining)
+    Line["cold_time"] = "not stated or unusable";
   logEvent(LogLevel::Info, "replica_entry", Line);
   this->Registry.put(*Entry, Now);
 }
@@ -174,6 +179,7 @@
         this->applyReplicaRecord({Id.text(), std::nullopt}, Batch.Next,
                                  GracePeriod);
   this->Registry.sweep(this->Timer.now());
+  this->logWarmthChanges();
 }
 
 void EdgeDaemon::State::applyHostRecords(
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -101,6 +101,11 @@
   void shareLimit(const NamedLimit &News);
   void onLimitReport(const NamedLimit &Report);
   void divideLimits();
+  /// Tells the registry of the services in the table whose replicas warm up.
+  void applyWarmupRules();
+  /// Logs the replicas that turned cold or warm, and takes this host's parts of
+  /// what cold ones tolerate.
+  void logWarmthChanges();
   struct ReportHandler;
   void onReport(const GossipReport &Report);
   void logLeavingReplica(const UpstreamId &Id, const char *Source) const;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -35,6 +35,8 @@
     Load.At = Now;
     this->Core.Registry.onLoadReport(*Source.TargetReplica, Load);
     this->LastLoad = Load;
+  } else if (Text != nullptr) {
+    this->noteUnusableLoad(*Source.TargetReplica, *Text);
   }
   const std::string *Id = findHeader(Head.Headers, Names.RequestId);
   if (Id != nullptr && *Id != this->RequestId) {
@@ -305,6 +307,8 @@
   this->endAttempt(Result);
   if (!Sent) {
     this->Core.Registry.onRequestNotSent(Source.Selection);
+    if (Result == Outcome::ConnectionFailed)
+      this->Core.Registry.onUnreachable(*Source.TargetReplica, this->now());
     this->Execution.markNotSent();
     this->AttemptsSent -= 1;
   }
--- a/src/upstreams/choice.cpp
+++ b/src/upstreams/choice.cpp
@@ -108,8 +108,9 @@
   auto Group = this->ByService.find(Query.Service.text());
   if (Group == this->ByService.end())
     return Available;
+  std::vector<ReplicaPtr> Crowded;
   std::vector<ReplicaPtr> Unavailable;
-  bool HasLimits = !this->Limits.empty();
+  bool HasLimits = !this->Limits.empty() || this->Limits.hasWarmups();
   for (const ReplicaPtr &Candidate : Group->second) {
     if (!this->isEligible(*Candidate, Query) ||
         Query.Now < Candidate->PausedUntil ||
@@ -119,9 +120,16 @@
       continue;
     bool Excluded =
         Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
-    (Excluded ? Unavailable : Available).push_back(Candidate);
+    bool IsCrowded =
+        HasLimits && this->Limits.isCrowded(Candidate->IdHash, Query.Now);
+    (Excluded    ? Unavailable
+     : IsCrowded ? Crowded
+                 : Available)
+        .push_back(Candidate);
   }
-  return Available.empty() ? Unavailable : Available;
+  if (!Available.empty())
+    return Available;
+  return Crowded.empty() ? Unavailable : Crowded;
 }
 
 Choice UpstreamRegistry::choose(const ChoiceQuery &Query) const {
--- a/src/upstreams/outcomes.cpp
+++ b/src/upstreams/outcomes.cpp
@@ -53,7 +53,7 @@
 void UpstreamRegistry::onRequestStarted(const Choice &Chosen,
                                         const ChoiceQuery &Query) {
   Replica &Target = *Chosen.Target;
-  if (!this->Limits.empty())
+  if (!this->Limits.empty() || this->Limits.hasWarmups())
     this->Limits.onSent(processOf(Target), Query.Now);
   Target.InFlight += 1;
   Target.SentSinceReport += 1;
@@ -177,6 +177,7 @@
     Record->OutcomeCount = 0;
     Record->FailureRate = 0;
     Record->EjectedUntil = Instant();
+    Record->SuspectUntil = Instant();
   }
 }
 
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -28,7 +28,8 @@
     this->put(Entry, Now);
     return;
   }
-  if (Slot == nullptr) {
+  bool IsNew = Slot == nullptr;
+  if (IsNew) {
     Slot = std::make_shared<Replica>();
     Slot->IdHash = stableHash(Entry.Id.text());
     this->ByService[Entry.Service.text()].push_back(Slot);
@@ -40,8 +41,13 @@
       Slot->PausedUntil = Notice->second.PausedUntil;
     }
   }
+  // A replica that returns after a silence and is cold has restarted.
+  bool MayHaveRestarted = Slot->Removed || Now < Slot->SuspectUntil;
+  if (MayHaveRestarted && Entry.isCold())
+    Slot->CachedSegments = PrefixCacheEstimate();
   Slot->Entry = Entry;
   Slot->Removed = false;
+  this->applyWarmth(*Slot, IsNew, Now);
 }
 
 bool UpstreamRegistry::isOutdated(const ReplicaEntry &Entry) const {
@@ -118,6 +124,7 @@
   auto &Group = this->ByService[Found->Entry.Service.text()];
   Group.erase(std::remove(Group.begin(), Group.end(), Found), Group.end());
   this->ByHash.erase(Found->IdHash);
+  this->Limits.clearWarmup(Found->IdHash);
   this->ById.erase(Id.text());
 }
 
@@ -149,7 +156,7 @@
     const ReplicaEntry &Entry = Found->second->Entry;
     return LimitedReplica{Entry.Place, Entry.Slots};
   };
-  if (!this->Limits.empty())
+  if (!this->Limits.empty() || this->Limits.hasWarmups())
     this->Limits.divide(Members, Find, Now);
 }
 
--- a/test/limits_fleet_test.cpp
+++ b/test/limits_fleet_test.cpp
@@ -1,7 +1,7 @@
 //===- limits_fleet_test.cpp - Limits kept by many hosts ------------------===//
 //
-// Plays a replica that names a limit, and hosts that share it, with a simulated
-// clock, lost datagrams, restarts and cuts between the hosts.
+// Plays a replica that names a limit or is cold, and hosts that share it, with
+// a simulated clock, lost datagrams, restarts and cuts between the hosts.
 //
 //===----------------------------------------------------------------------===//
 
@@ -27,6 +27,7 @@
 /// first answer with the limit on.
 constexpr double WindowSeconds = 4;
 constexpr double SettledSeconds = 4;
+constexpr double ColdWindowSeconds = 1;
 
 Instant at(double Seconds) { return Instant{absl::Seconds(Seconds)}; }
 
@@ -43,6 +44,9 @@
   /// When a third of the hosts restarts.
   double RestartAt = HUGE_VAL;
   double EndsAt = 60;
+  /// The replica is cold and names no limit: the bound is the one on cold
+  /// replicas, for any second from the start on.
+  bool IsCold = false;
 };
 
 struct FleetResult {
@@ -64,15 +68,15 @@
     for (double Now = 0; Now < this->Options.EndsAt; Now += StepSeconds)
       this->step(Now);
     FleetResult Result;
-    Result.Allowed = 1.5 * this->Options.PerSecond * WindowSeconds + 5;
+    double Window = this->Options.IsCold ? ColdWindowSeconds : WindowSeconds;
+    Result.Allowed = 1.5 * this->Options.PerSecond * Window + 5;
     int64_t Settled = 0;
     for (auto First = this->Arrivals.begin(); First != this->Arrivals.end();
          ++First) {
-      if (*First < SettledSeconds)
+      if (*First < SettledSeconds && !this->Options.IsCold)
         continue;
-      Settled += 1;
-      auto End =
-          std::lower_bound(First, this->Arrivals.end(), *First + WindowSeconds);
+      Settled += *First < SettledSeconds ? 0 : 1;
+      auto End = std::lower_bound(First, this->Arrivals.end(), *First + Window);
       Result.MostInWindow = std::max<int64_t>(Result.MostInWindow, End - First);
     }
     Result.Use =
@@ -99,8 +103,14 @@
   Host makeHost(size_t Index) const {
     PlaceId Place(std::string(1, static_cast<char>('a' + Index % 3)));
     LimitMember Self{static_cast<uint32_t>(0x0A010000 + Index), Place};
-    return {Self, LimitMembers(Self), ReplicaLimits(), 0,
-            std::vector<double>(this->Options.Hosts, -HeardSeconds)};
+    Host Made{Self, LimitMembers(Self), ReplicaLimits(), 0,
+              std::vector<double>(this->Options.Hosts, -HeardSeconds)};
+    if (this->Options.IsCold) {
+      Made.Limits.setWarmup(Limited.IdHash, {this->Options.PerSecond, 1.5, 5});
+      Made.Limits.setColdUntil(Limited.IdHash, at(this->Options.EndsAt + 1),
+                               at(0));
+    }
+    return Made;
   }
 
   double draw() { return this->Unit(this->Random); }
@@ -158,6 +168,8 @@
       return;
     Own.Limits.onSent(Limited, at(Now));
     this->Arrivals.push_back(Now);
+    if (this->Options.IsCold)
+      return;
     std::optional<NamedLimit> News = Own.Limits.observe(
         Limited, this->Options.PerSecond, std::nullopt, at(Now), at(Now));
     for (size_t To = 0; News && To < this->Hosts.size(); ++To)
@@ -257,6 +269,67 @@
       }
 }
 
+// Guards against a herd at a cold replica, which would end under it.
+TEST_CASE("Fleets of any size keep the rate of a cold replica and use it") {
+  for (size_t Hosts : {1U, 8U, 85U, 300U})
+    for (double PerSecond : {1.0, 4.0, 9.1, 50.0}) {
+      FleetSettings Options;
+      Options.Hosts = Hosts;
+      Options.PerSecond = PerSecond;
+      Options.Demand = demandFor(PerSecond, Hosts);
+      Options.IsCold = true;
+      FleetResult Result = LimitFleet(Options, 1).play();
+      INFO("hosts " << Hosts << ", rate " << PerSecond);
+      CHECK(static_cast<double>(Result.MostInWindow) <= Result.Allowed);
+      CHECK(Result.Use >= 0.8);
+    }
+}
+
+// Guards against parts of a cold replica's rate that grow when hosts don't
+// reach each other.
+TEST_CASE("Fleets keep the rate of a cold replica while hosts are cut off") {
+  for (size_t Hosts : {8U, 85U, 300U})
+    for (double PerSecond : {1.0, 9.1, 50.0})
+      for (double CutShare : {0.13, 0.4, 0.5, 0.8}) {
+        FleetSettings Options;
+        Options.Hosts = Hosts;
+        Options.PerSecond = PerSecond;
+        Options.Demand = demandFor(PerSecond, Hosts);
+        Options.CutShare = CutShare;
+        Options.CutFrom = 5;
+        Options.CutTo = 20;
+        Options.EndsAt = 30;
+        Options.IsCold = true;
+        checkFleet(Options, 1);
+      }
+}
+
+// Guards against hosts that take a part before they know the others.
+TEST_CASE("Fleets keep the rate of a cold replica while hosts restart") {
+  for (size_t Hosts : {8U, 85U, 300U})
+    for (double PerSecond : {1.0, 9.1, 50.0})
+      for (uint32_t Seed : {1U, 2U}) {
+        FleetSettings Options;
+        Options.Hosts = Hosts;
+        Options.PerSecond = PerSecond;
+        Options.Demand = demandFor(PerSecond, Hosts);
+        Options.RestartAt = 8;
+        Options.EndsAt = 20;
+        Options.IsCold = true;
+        checkFleet(Options, Seed);
+      }
+}
+
+TEST_CASE("A host sends a cold replica nothing before the rate is divided") {
+  ReplicaLimits Limits;
+  Limits.setWarmup(Limited.IdHash, {9, 1.5, 5});
+  CHECK(Limits.allows(Limited, true, at(1)));
+  Limits.setColdUntil(Limited.IdHash, at(4), at(1));
+  CHECK_FALSE(Limits.allows(Limited, true, at(3)));
+  CHECK(at(3) < Limits.allowedAt(Limited, true, at(3)));
+  CHECK(Limits.allows(Limited, true, at(4)));
+}
+
 TEST_CASE("An answer from before a change of a limit does not undo it") {
   ReplicaLimits Limits;
   REQUIRE(Limits.observe(Limited, 2, std::nullopt, at(1), at(1)));
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -23,6 +23,39 @@
   CHECK(Entry->Slots == 64);
   CHECK(Entry->Draining);
   CHECK(Entry->StartedAtMs == 1771081512739);
+  CHECK(Entry->ColdRemaining == absl::ZeroDuration());
+}
+
+TEST_CASE("A replica's cold time is decoded if it is usable") {
+  auto Decode = [](const std::string &Cold) {
+    auto Entry =
+        decodeReplica("i", R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                           R"("version":"v","slots":1,"state":"ready")" +
+                               Cold + "}");
+    REQUIRE(Entry.ok());
+    return Entry->ColdRemaining;
+  };
+  CHECK(Decode(R"(,"coldRemainingMs":1500)") == absl::Milliseconds(1500));
+  for (const char *Unusable :
+       {"", R"(,"coldRemainingMs":-1)", R"(,"coldRemainingMs":1e15)",
+        R"(,"coldRemainingMs":"9")", R"(,"coldRemainingMs":null)"}) {
+    CAPTURE(Unusable);
+    CHECK(Decode(Unusable) == std::nullopt);
+  }
+}
+
+TEST_CASE("The rate that a service's cold replicas tolerate is decoded") {
+  auto Table = decodeTable(
+      R"({"version":1,"routes":[],"services":[)"
+      R"({"name":"a","coldStartS":3.0,"coldPerS":9.1},)"
+      R"({"name":"b","coldStartS":-1,"coldPerS":-2},{"name":"c"}]})");
+  REQUIRE(Table.ok());
+  CHECK(Table->service(ServiceId("a"))->ColdPerSecond == 9.1);
+  CHECK(Table->service(ServiceId("a"))->ColdTime == absl::Seconds(3));
+  for (const char *Name : {"b", "c"}) {
+    CHECK(Table->service(ServiceId(Name))->ColdPerSecond == 0);
+    CHECK(Table->service(ServiceId(Name))->ColdTime == absl::ZeroDuration());
+  }
 }
 
 TEST_CASE("A malformed replica record is refused") {
