--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -74,10 +74,11 @@
   ReplicaEjections,
   PaidLinkBytes,
   SlowReadersEnded,
-  BodiesRefused
+  BodiesRefused,
+  LoadReportsRejected
 };
 inline constexpr int CounterCount =
-    static_cast<int>(Counter::BodiesRefused) + 1;
+    static_cast<int>(Counter::LoadReportsRejected) + 1;
 
 /// Latency histograms, in seconds.
 enum class Latency {
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -53,7 +53,8 @@
     "replica_ejections",
     "bytes_across",
     "slow_readers_ended",
-    "bodies_refused"};
+    "bodies_refused",
+    "load_reports_rejected"};
 
 constexpr std::array<const char *, LatencyCount> LatencyNames = {
     "first_token", "between_tokens", "whole_request", "decision",
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -54,7 +54,8 @@
     this->put(Entry, Now);
     return;
   }
-  if (Slot == nullptr) {
+  bool IsNew = Slot == nullptr;
+  if (IsNew) {
     Slot = std::make_shared<Replica>();
     Slot->IdHash = stableHash(Entry.Id.text());
     this->ByService[Entry.Service.text()].push_back(Slot);
@@ -66,6 +67,10 @@
       Slot->PausedUntil = Notice->second.PausedUntil;
     }
   }
+  // A replica that returns after a silence and is cold has restarted.
+  bool MayHaveRestarted = Slot->Removed || Now < Slot->SuspectUntil;
+  if (MayHaveRestarted && Entry.isCold())
+    Slot->CachedSegments = PrefixCacheEstimate();
   Slot->Entry = Entry;
   Slot->Removed = false;
   Slot->Evacuated = this->Evacuated.count(Entry.Place) > 0;
@@ -74,6 +79,7 @@
       Region == this->Settings.Regions.end()
           ? std::nullopt
           : std::make_optional(this->RegionNumbers.at(Region->second));
+  this->applyWarmth(*Slot, IsNew, Now);
 }
 
 bool UpstreamRegistry::isOutdated(const ReplicaEntry &Entry) const {
@@ -150,6 +156,7 @@
   auto &Group = this->ByService[Found->Entry.Service.text()];
   Group.erase(std::remove(Group.begin(), Group.end(), Found), Group.end());
   this->ByHash.erase(Found->IdHash);
+  this->Limits.clearWarmup(Found->IdHash);
   this->ById.erase(Id.text());
 }
 
@@ -181,7 +188,7 @@
     const ReplicaEntry &Entry = Found->second->Entry;
     return LimitedReplica{Entry.Place, Entry.Slots};
   };
-  if (!this->Limits.empty())
+  if (!this->Limits.empty() || this->Limits.hasWarmups())
     this->Limits.divide(Members, Find, Now);
 }
 
