--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -77,6 +77,7 @@
   Line["version"] = Json::Int64(Decoded->Version.count());
   Line["before"] = Json::Int64(Known.count());
   Line["routes"] = Json::Int64(Decoded->Routes.size());
+  this->logUnservedRegions(*Decoded);
   this->Table = std::make_shared<RouteTable>(*std::move(Decoded));
   this->Peers.self().Table = this->Table->Version;
   this->Cache.put(StoreTopic::Operators, Record, ReadTo);
@@ -84,6 +85,26 @@
   logEvent(LogLevel::Info, "table_in_force", Line);
 }
 
+void EdgeDaemon::State::logUnservedRegions(const RouteTable &Changed) const {
+  Json::Value Line(Json::objectValue);
+  auto AddIfUnserved = [&](const char *Kind, const std::string &Name,
+                           const AllowedRegions &Regions) {
+    bool Known =
+        std::any_of(this->Config.Regions.begin(), this->Config.Regions.end(),
+                    [&](const auto &Place) {
+                      return allowsRegion(Regions, RegionId(Place.second));
+                    });
+    if (Regions && !Known)
+      Line[Kind].append(Name);
+  };
+  for (const Route &Row : Changed.Routes)
+    AddIfUnserved("routes", Row.Name, Row.Regions);
+  for (const WorkspaceInfo &Row : Changed.Workspaces)
+    AddIfUnserved("workspaces", Row.Id.text(), Row.Regions);
+  if (!Line.empty())
+    logEvent(LogLevel::Warn, "regions_without_places", Line);
+}
+
 void EdgeDaemon::State::applyRolloutStates(
     const std::vector<StoreRecord> &Records, Offset ReadTo) {
   for (const StoreRecord &Record : Records) {
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -118,6 +118,8 @@
   bool endEvacuation(const std::string &Key, const RecordBatch &Batch,
                      const char *Source);
   void applyTable(const StoreRecord &Record, Offset ReadTo);
+  /// Logs the rows whose regions have no data centre.
+  void logUnservedRegions(const RouteTable &Changed) const;
   void applyRolloutStates(const std::vector<StoreRecord> &Records,
                           Offset ReadTo);
   /// Finds the recorded states that a snapshot of the topic lacks.
--- a/test/soak/audit.cpp
+++ b/test/soak/audit.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr absl::Duration DrainBound = absl::Milliseconds(2500);
+constexpr absl::Duration EvacuationBound = absl::Seconds(5);
 constexpr int64_t SentDeadlineMs = 5000;
 /// Time until a run ends after its caller closed the connection.
 constexpr absl::Duration AbandonedRunBound = absl::Milliseconds(500);
@@ -117,6 +118,22 @@
               " after it began to drain"));
 }
 
+void auditRegions(Environment &Env) {
+  for (const TestReplica &Replica : Env.Replicas) {
+    bool IsFar = Replica.Place == "zone-b";
+    for (const standin::ExecutedRequest &ReplicaRun :
+         Replica.Stub->ExecutedRequests) {
+      if (!IsFar && absl::StrContains(ReplicaRun.Path, " /once/"))
+        Env.recordViolation(absl::StrCat(ReplicaRun.RequestId,
+                                         " left the regions of its route"));
+      if (IsFar && Env.EvacuatedAt + EvacuationBound < ReplicaRun.StartedAt &&
+          ReplicaRun.StartedAt < Env.TakenBackAt)
+        Env.recordViolation(absl::StrCat(ReplicaRun.RequestId,
+                                         " reached an evacuated data centre"));
+    }
+  }
+}
+
 /// Checks that the retries of all hosts together stay within the retry budget
 /// of the requests.
 void auditRetryBudget(Environment &Env, const Callers &Traffic,
@@ -171,6 +188,7 @@
   }
   auditAbandonedRuns(Env, Traffic, Runs);
   auditDrains(Env);
+  auditRegions(Env);
   auditRetryBudget(Env, Traffic, Runs, true);
   auditRetryBudget(Env, Traffic, Runs, false);
 }
--- a/test/soak/environment.cpp
+++ b/test/soak/environment.cpp
@@ -3,6 +3,7 @@
 #include "environment.h"
 
 #include "absl/strings/str_cat.h"
+#include "berylramp/json.h"
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -28,6 +29,17 @@
 /// Outage of the store during which all hosts are killed.
 constexpr absl::Duration StoreOutage = absl::Seconds(2);
 constexpr int64_t RolloutSeconds = 8;
+/// Longer than EvacuationBound in audit.cpp.
+constexpr absl::Duration EvacuationLength = absl::Seconds(7);
+
+/// Requests of the route "once" are served in the region of "zone-b" only.
+std::string regionTable(int64_t Version, const std::vector<std::string> &Keys) {
+  Json::Value Table = *parseJson(standin::sampleTable(Version, Keys));
+  for (Json::Value &Row : Table["routes"])
+    if (Row["name"] == "once")
+      Row["allowedRegions"].append("region-zone-b");
+  return writeJson(Table);
+}
 
 } // namespace
 
@@ -38,9 +50,11 @@
 void Environment::setUp() {
   if (!this->Store.listen().ok())
     std::abort();
-  this->Store.put("keyed.op", "config", standin::sampleTable(1, {"key-1"}));
+  this->Store.put("keyed.op", "config", regionTable(1, {"key-1"}));
   for (int Index = 0; Index < 6; ++Index)
     this->addReplica(Index < 3 ? "engine" : "plain", "v1");
+  for (int Index = 0; Index < 2; ++Index)
+    this->addReplica("plain", "v1", "zone-b");
   for (int Index = 0; Index < 5; ++Index)
     this->Ports.push_back(standin::findFreePort());
   for (int Index = 0; Index < HostCount; ++Index) {
@@ -54,6 +68,9 @@
         absl::StrCat("host-", Index), "zone-a", NewHost.Ip, this->Ports,
         NewHost.StoreProxy->address(),
         absl::StrCat("127.0.0.1:", this->Ports[3]));
+    Json::Value Settings = *parseJson(NewHost.ValidSettings);
+    Settings["zones"]["zone-b"] = "region-zone-b";
+    NewHost.ValidSettings = writeJson(Settings);
     std::ofstream(NewHost.SettingsPath) << NewHost.ValidSettings;
     this->Hosts.push_back(NewHost);
   }
@@ -75,12 +92,14 @@
 }
 
 void Environment::addReplica(const std::string &Service,
-                             const std::string &Version) {
+                             const std::string &Version,
+                             const std::string &Place) {
   TestReplica NewReplica;
+  NewReplica.Place = Place;
   NewReplica.Version = Version;
   NewReplica.Stub = std::make_shared<standin::Replica>(
       this->Loop, this->Timer, absl::StrCat("r-", this->Replicas.size()),
-      Service, "zone-a");
+      Service, Place);
   if (!NewReplica.Stub->listen().ok())
     std::abort();
   NewReplica.ReplicaProxy = std::make_shared<Proxy>(this->Loop, this->Timer,
@@ -251,6 +270,15 @@
   this->publishRecord(Target);
 }
 
+void Environment::evacuate() {
+  this->EvacuatedAt = this->Timer.now();
+  this->Store.put("keyed.op", "evacuate/zone-b", "{}");
+  this->Timer.after(EvacuationLength, [this] {
+    this->TakenBackAt = this->Timer.now();
+    this->Store.put("keyed.op", "evacuate/zone-b", std::nullopt);
+  });
+}
+
 void Environment::runPlannedAction() {
   this->ActionCount += 1;
   Host &Target = this->randomHost();
@@ -295,9 +323,9 @@
 void Environment::publishTable() {
   this->TableVersion += 1;
   this->TablePublishedAt = this->Timer.now();
-  this->Store.put("keyed.op", "config",
-                  standin::sampleTable(this->TableVersion,
-                                       {"key-1", this->newestCallerKey()}));
+  this->Store.put(
+      "keyed.op", "config",
+      regionTable(this->TableVersion, {"key-1", this->newestCallerKey()}));
 }
 
 /// A running host must keep its settings while the file is invalid.
--- a/test/soak/environment.h
+++ b/test/soak/environment.h
@@ -35,6 +35,7 @@
   std::shared_ptr<standin::Replica> Stub;
   std::shared_ptr<Proxy> ReplicaProxy;
   std::string Version = "v1";
+  std::string Place = "zone-a";
   bool Draining = false;
   /// Start and end of each drain: from the write of the "draining" record to
   /// that of the next "ready" one; the end of an open drain is infinite.
@@ -67,6 +68,8 @@
   void injectFault();
   /// Clears all faults of the store, the replicas and the proxies.
   void clearFaults();
+  /// Evacuates "zone-b" and takes it back some seconds later.
+  void evacuate();
   /// Runs one random operator action; such actions must not fail requests.
   void runPlannedAction();
   /// Writes the next table to the store.
@@ -99,9 +102,13 @@
   /// removes the one of the previous version; "key-1" stays valid.
   int64_t TableVersion = 1;
   Instant TablePublishedAt;
+  /// When the evacuation was written, and its end.
+  Instant EvacuatedAt{absl::InfiniteDuration()};
+  Instant TakenBackAt{absl::InfiniteDuration()};
 
 private:
-  void addReplica(const std::string &Service, const std::string &Version);
+  void addReplica(const std::string &Service, const std::string &Version,
+                  const std::string &Place = "zone-a");
   void publishRecord(TestReplica &Target);
   void spawn(Host &Target);
   void reap();
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -126,6 +126,7 @@
     Instant OrderedAt = this->Env.Timer.now();
     this->Traffic.startPlannedPhase();
     this->Env.orderRollout(IsGood);
+    this->Env.evacuate();
     this->RunsPlannedActions = true;
     Instant End = this->Env.Timer.now() + PlannedPhaseLength;
     while (this->Env.Timer.now() < End) {
