Tell where a request would go, without sending it

An operator who asked why a request went to a replica had only the log of what had been sent. A host now answers on its peers' listener with each replica of the service, what it expects there and the rule that rules it out; berylramp-inspect where renders it. Choice and explanation share one function for the reason, so that they cannot differ; the choice is unchanged.

The command was not run against a daemon outside of the tests.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -326,6 +326,10 @@
   ~Exchange();
 
   void handle(CallerRequest Request, ResponderPtr CallerResponder);
+  /// Where \p Request would go now, and why, as a JSON object. Sends and counts
+  /// nothing. \p Workspace replaces the request's key unless empty.
+  Json::Value explain(CallerRequest Request,
+                      const WorkspaceId &Workspace) const;
   /// Sets this host's share of the operators' retry slack.
   void setRetrySlack(double Slack);
   /// Number of requests in progress.
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -208,6 +208,43 @@
   absl::Duration SharedPrefillTime;
 };
 
+/// Why a replica is not considered for a request.
+enum class Exclusion {
+  None,
+  /// Its entry was removed from the store.
+  Removed,
+  Leaving,
+  Draining,
+  /// The roll-out allows this request another version only.
+  OtherVersion,
+  /// The request was sent to it before.
+  Tried,
+  /// It asked for a pause.
+  Paused,
+  /// This host has no part left of the limit that it names.
+  LimitReached,
+  /// It is brittle, and this host's part of its room is in use.
+  NoRoom,
+  /// Considered only if there are no others, as are full ones.
+  Ejected,
+  Full
+};
+
+const char *exclusionName(Exclusion Reason);
+
+/// What this host knows of a replica for one request.
+struct ReplicaView {
+  ReplicaPtr Target;
+  Exclusion Reason = Exclusion::None;
+  bool IsCandidate = false;
+  bool IsChosen = false;
+  /// Requests per slot.
+  double Load = 0;
+  Choice Expected;
+  /// Tokens at the prompt's beginning that the engine has cached.
+  int64_t CachedTokens = 0;
+};
+
 /// Weights of the replica selection.
 struct ChoiceSettings {
   PlaceId OwnPlace;
@@ -316,6 +353,9 @@
   void sweep(Instant Now);
   /// The best choice for \p Query; its replica is null when there is none.
   Choice choose(const ChoiceQuery &Query) const;
+  /// All replicas of the service in the order of their ids, with the reasons of
+  /// choose(). Changes nothing.
+  std::vector<ReplicaView> explain(const ChoiceQuery &Query) const;
   /// Whether a candidate is below its slot count and not full.
   bool hasCapacity(const ChoiceQuery &Query) const;
   /// Mean of requests per slot over the candidates; 1 when there is none.
@@ -363,8 +403,12 @@
   /// False if the replica is brittle and this host's part of its room is in
   /// use.
   bool hasRoom(const Replica &Candidate, Instant Now) const;
-  /// Whether \p Query allows the replica, available or not.
-  bool isEligible(const Replica &Candidate, const ChoiceQuery &Query) const;
+  /// Why \p Query does not allow the replica, available or not.
+  static Exclusion ineligibilityOf(const Replica &Candidate,
+                                   const ChoiceQuery &Query);
+  /// The same with the reasons that pass.
+  Exclusion exclusionOf(const Replica &Candidate,
+                        const ChoiceQuery &Query) const;
   ReplicaNotice &noticeOf(const Replica &Target, Instant Now);
   void eject(Replica &Target, Instant Now) const;
   Choice chooseEngine(const ChoiceQuery &Query,
--- a/src/edge/edge_serve.cpp
+++ b/src/edge/edge_serve.cpp
@@ -76,6 +76,10 @@
 
 void EdgeDaemon::State::servePeers(const CallerRequest &Request,
                                    const ResponderPtr &Responder) {
+  if (Request.Target == ExplainPath && Request.Method == "POST") {
+    this->serveExplanation(Request, Responder);
+    return;
+  }
   if (Request.Target.rfind(PeerRecordsPath, 0) != 0) {
     Responder->sendWhole(headOf(404), "", false);
     return;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -33,6 +33,9 @@
 inline constexpr double RetryRatioFraction = 0.75;
 inline constexpr double RetrySlackFraction = 0.8;
 
+/// Path on the peers' listener that tells where a request would go.
+inline constexpr const char *ExplainPath = "/peer/where";
+
 /// Time for which a host that failed to open a tunnel is avoided.
 inline constexpr absl::Duration PeerFailureTime = absl::Seconds(1);
 
@@ -134,6 +137,8 @@
   void serveDirectory(const CallerRequest &Request,
                       const ResponderPtr &Responder);
   void servePeers(const CallerRequest &Request, const ResponderPtr &Responder);
+  void serveExplanation(const CallerRequest &Request,
+                        const ResponderPtr &Responder);
   void finishStop();
   void closeAll();
   int writerRank() const;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -58,6 +58,12 @@
   NewRelay->start();
 }
 
+Json::Value Exchange::explain(CallerRequest Request,
+                              const WorkspaceId &Workspace) const {
+  Relay Explained(this->Shared, *this->Shared, std::move(Request), nullptr);
+  return Explained.explain(Workspace);
+}
+
 void Exchange::setRetrySlack(double Slack) {
   this->Shared->Settings.Retries.Slack = Slack;
   for (auto &[Service, Budget] : this->Shared->Budgets)
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -37,6 +37,9 @@
         ResponderPtr CallerResponder);
 
   void start();
+  /// Where the request would go now, as the request of \p ForWorkspace if it
+  /// is not empty. Called instead of start(); sends and counts nothing.
+  Json::Value explain(const WorkspaceId &ForWorkspace);
   /// Ends the request without a complete answer.
   void abort(const char *Reason);
 
@@ -59,6 +62,7 @@
   /// Whose bytes the host holds for this request; 0 when unknown.
   uint64_t owner() const;
   void resolveRequest();
+  void explainChoice(Json::Value &Result);
   void startNextAttempt();
   void sendAttempt(const Choice &Chosen, const ChoiceQuery &Query);
   /// Logs an attempt at \p Target if it names a limit.
--- a/src/tools/inspect/main.cpp
+++ b/src/tools/inspect/main.cpp
@@ -13,6 +13,7 @@
 #include "cli.h"
 #include "render.h"
 #include "timeline.h"
+#include "where.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -28,6 +29,7 @@
 constexpr int ExitAuditFailed = 1;
 using cli::ExitUsage;
 constexpr int ExitUnavailable = 3;
+constexpr int StatusOk = 200;
 
 struct Options {
   std::string Subject;
@@ -46,6 +48,8 @@
       "Shows the state of a fleet. WHAT is table, hosts, host, replicas, "
       "request or bills; request needs the request's id after it. 'explain ID "
       "FILE...' prints the timeline of a request from the logs of hosts. "
+      "'where host=NAME path=PATH ...' tells where berylramp-edged, whose "
+      "address for peers is --entry, would send a request. "
       "BERYLRAMP_ADMIN_KEY holds the key for --entry. Exit codes: 0 shown, 1 "
       "the bill audit found missing or orphaned bills, 2 invalid command line, "
       "3 no answer or not found.",
@@ -231,6 +235,33 @@
   return ExitUnavailable;
 }
 
+int showWhere(const Options &Opts) {
+  std::vector<std::string> Words = Opts.LogPaths;
+  Words.push_back(Opts.Request);
+  absl::StatusOr<Json::Value> Described = describeRequest(Words);
+  if (!Described.ok() || !Opts.HasEntry) {
+    std::cerr << (Described.ok() ? "pass --entry IP:PORT"
+                                 : Described.status().message())
+              << "\n";
+    return ExitUsage;
+  }
+  HttpClientPool Pool;
+  HttpCall Call;
+  Call.Method = "POST";
+  Call.Path = "/peer/where";
+  Call.Body = writeJson(*Described);
+  HttpOutcome Outcome = Pool.call(Opts.Entry, Call);
+  absl::StatusOr<Json::Value> Answer = parseJson(Outcome.Body);
+  if (Outcome.Fault != HttpFault::None || Outcome.Status != StatusOk ||
+      !Answer.ok()) {
+    std::cerr << Opts.Entry.text()
+              << " gave no explanation; pass a host's address for peers\n";
+    return ExitUnavailable;
+  }
+  std::cout << renderExplanation(*Answer, Opts.OutputFormat);
+  return 0;
+}
+
 int show(const Options &Opts) {
   if (Opts.Subject == "table")
     return showTable(Opts);
@@ -250,8 +281,10 @@
     return showBills(Opts);
   if (Opts.Subject == "explain" && !Opts.LogPaths.empty())
     return explainRequest(Opts);
+  if (Opts.Subject == "where")
+    return showWhere(Opts);
   std::cerr << "pass what to show: table, hosts, host, replicas, request ID, "
-               "bills or explain ID FILE...\n";
+               "bills, explain ID FILE... or where host=NAME path=PATH\n";
   return ExitUsage;
 }
 
--- a/src/upstreams/choice.cpp
+++ b/src/upstreams/choice.cpp
@@ -24,16 +24,6 @@
 /// Time in which a request in progress at a brittle replica makes room.
 constexpr absl::Duration RoomDelay = absl::Milliseconds(300);
 
-bool contains(const std::vector<UpstreamId> &Ids, const UpstreamId &Id) {
-  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
-}
-
-bool allows(const VersionRule &Rule, const VersionId &Version) {
-  if (Rule.Target.empty())
-    return true;
-  return Rule.RequireTarget == (Version == Rule.Target);
-}
-
 /// The replicas of \p Group that lie in the range that \p Query prefers, or all
 /// of them when none does.
 std::vector<ReplicaPtr> preferredSlice(std::vector<ReplicaPtr> Group,
@@ -72,18 +62,10 @@
   return Own / Slots;
 }
 
-bool UpstreamRegistry::isEligible(const Replica &Candidate,
-                                  const ChoiceQuery &Query) const {
-  bool Expired = Candidate.Removed && !(Query.Now < Candidate.UsableUntil);
-  return !Expired && !Candidate.Leaving && !Candidate.Entry.Draining &&
-         allows(Query.Rule, Candidate.Entry.Version) &&
-         !contains(Query.Tried, Candidate.Entry.Id);
-}
-
 Instant UpstreamRegistry::earliestAvailability(const ChoiceQuery &Query) const {
   Instant Earliest{absl::InfiniteDuration()};
   for (const ReplicaPtr &Candidate : this->replicasOf(Query.Service)) {
-    if (!this->isEligible(*Candidate, Query))
+    if (ineligibilityOf(*Candidate, Query) != Exclusion::None)
       continue;
     Instant At = std::max(
         Candidate->PausedUntil,
@@ -109,17 +91,12 @@
   if (Group == this->ByService.end())
     return Available;
   std::vector<ReplicaPtr> Unavailable;
-  bool HasLimits = !this->Limits.empty();
   for (const ReplicaPtr &Candidate : Group->second) {
-    if (!this->isEligible(*Candidate, Query) ||
-        Query.Now < Candidate->PausedUntil ||
-        (HasLimits && (!this->Limits.allows(processOf(*Candidate), Query.Urgent,
-                                            Query.Now) ||
-                       !this->hasRoom(*Candidate, Query.Now))))
-      continue;
-    bool Excluded =
-        Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
-    (Excluded ? Unavailable : Available).push_back(Candidate);
+    Exclusion Reason = this->exclusionOf(*Candidate, Query);
+    if (Reason == Exclusion::None)
+      Available.push_back(Candidate);
+    else if (Reason == Exclusion::Ejected || Reason == Exclusion::Full)
+      Unavailable.push_back(Candidate);
   }
   return Available.empty() ? Unavailable : Available;
 }
--- /dev/null
+++ b/src/upstreams/explain.cpp
@@ -0,0 +1,123 @@
+//===- explain.cpp - Why a replica is or is not chosen --------------------===//
+//
+// The choice and its explanation use the same reasons, so that they cannot
+// differ.
+//
+//===----------------------------------------------------------------------===//
+
+#include "berylramp/upstreams.h"
+
+#include <algorithm>
+
+namespace berylramp {
+
+namespace {
+
+bool allows(const VersionRule &Rule, const VersionId &Version) {
+  if (Rule.Target.empty())
+    return true;
+  return Rule.RequireTarget == (Version == Rule.Target);
+}
+
+bool contains(const std::vector<UpstreamId> &Ids, const UpstreamId &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+/// Tokens of the segments at the prompt's beginning that the engine has cached.
+int64_t cachedTokens(const Replica &Target, const ChoiceQuery &Query) {
+  int64_t Tokens = 0;
+  for (size_t Index = 0; Index + 1 < Query.Segments.size(); ++Index) {
+    if (!Target.CachedSegments.holds(Query.Segments[Index].Id))
+      break;
+    Tokens += Query.Segments[Index].Tokens;
+  }
+  return Tokens;
+}
+
+} // namespace
+
+const char *exclusionName(Exclusion Reason) {
+  switch (Reason) {
+  case Exclusion::None:
+    return "none";
+  case Exclusion::Removed:
+    return "removed";
+  case Exclusion::Leaving:
+    return "leaving";
+  case Exclusion::Draining:
+    return "draining";
+  case Exclusion::OtherVersion:
+    return "another_version";
+  case Exclusion::Tried:
+    return "tried";
+  case Exclusion::Paused:
+    return "paused";
+  case Exclusion::LimitReached:
+    return "limit";
+  case Exclusion::NoRoom:
+    return "no_room";
+  case Exclusion::Ejected:
+    return "ejected";
+  case Exclusion::Full:
+    break;
+  }
+  return "full";
+}
+
+Exclusion UpstreamRegistry::ineligibilityOf(const Replica &Candidate,
+                                            const ChoiceQuery &Query) {
+  if (Candidate.Removed && !(Query.Now < Candidate.UsableUntil))
+    return Exclusion::Removed;
+  if (Candidate.Leaving)
+    return Exclusion::Leaving;
+  if (Candidate.Entry.Draining)
+    return Exclusion::Draining;
+  if (!allows(Query.Rule, Candidate.Entry.Version))
+    return Exclusion::OtherVersion;
+  return contains(Query.Tried, Candidate.Entry.Id) ? Exclusion::Tried
+                                                   : Exclusion::None;
+}
+
+Exclusion UpstreamRegistry::exclusionOf(const Replica &Candidate,
+                                        const ChoiceQuery &Query) const {
+  Exclusion Reason = ineligibilityOf(Candidate, Query);
+  if (Reason != Exclusion::None)
+    return Reason;
+  if (Query.Now < Candidate.PausedUntil)
+    return Exclusion::Paused;
+  if (!this->Limits.empty()) {
+    if (!this->Limits.allows(processOf(Candidate), Query.Urgent, Query.Now))
+      return Exclusion::LimitReached;
+    if (!this->hasRoom(Candidate, Query.Now))
+      return Exclusion::NoRoom;
+  }
+  if (Query.Now < Candidate.EjectedUntil)
+    return Exclusion::Ejected;
+  return Query.Now < Candidate.FullUntil ? Exclusion::Full : Exclusion::None;
+}
+
+std::vector<ReplicaView>
+UpstreamRegistry::explain(const ChoiceQuery &Query) const {
+  std::vector<ReplicaPtr> Considered = this->candidates(Query);
+  Choice Chosen = this->choose(Query);
+  std::vector<ReplicaView> Views;
+  for (const ReplicaPtr &Member : this->replicasOf(Query.Service)) {
+    ReplicaView View;
+    View.Target = Member;
+    View.Reason = this->exclusionOf(*Member, Query);
+    View.IsCandidate = std::find(Considered.begin(), Considered.end(),
+                                 Member) != Considered.end();
+    View.IsChosen = Member == Chosen.Target;
+    View.Load = this->loadOf(*Member, Query.Now);
+    View.Expected = this->estimate(Member, Query);
+    View.CachedTokens = cachedTokens(*Member, Query);
+    Views.push_back(std::move(View));
+  }
+  std::sort(Views.begin(), Views.end(),
+            [](const ReplicaView &A, const ReplicaView &B) {
+              return A.Target->Entry.Id < B.Target->Entry.Id;
+            });
+  return Views;
+}
+
+} // namespace berylramp
