--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -23,7 +23,11 @@
         Memory(std::make_shared<HeldMemory>(Loop, Timer, Counters,
                                             this->Settings.Memory)),
         Paths(std::make_shared<PathController>(Loop, Timer, Registry)) {
-    this->Paths->ChoosePeer = this->Hooks.ChoosePeer;
+    // Checks of paths send no request.
+    this->Paths->ChoosePeer = [this](const Replica &Target,
+                                     const std::vector<Endpoint> &Tried) {
+      return this->Hooks.ChoosePeer(Target, Tried, std::nullopt);
+    };
     this->Paths->OnLost = [this](bool Hangs) { this->onPathLost(Hangs); };
   }
 
--- a/src/upstreams/explain.cpp
+++ b/src/upstreams/explain.cpp
@@ -19,6 +19,11 @@
   return Rule.RequireTarget == (Version == Rule.Target);
 }
 
+bool allows(const RegionRule &Rule, const std::optional<size_t> &Region) {
+  return !Rule.Binds ||
+         (Region && *Region < Rule.Allowed.size() && Rule.Allowed[*Region]);
+}
+
 bool contains(const std::vector<UpstreamId> &Ids, const UpstreamId &Id) {
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
@@ -46,6 +51,10 @@
     return "leaving";
   case Exclusion::Draining:
     return "draining";
+  case Exclusion::Evacuated:
+    return "evacuated";
+  case Exclusion::OtherRegion:
+    return "another_region";
   case Exclusion::OtherVersion:
     return "another_version";
   case Exclusion::Tried:
@@ -72,6 +81,10 @@
     return Exclusion::Leaving;
   if (Candidate.Entry.Draining)
     return Exclusion::Draining;
+  if (Candidate.Evacuated)
+    return Exclusion::Evacuated;
+  if (!allows(Query.Regions, Candidate.Region))
+    return Exclusion::OtherRegion;
   if (!allows(Query.Rule, Candidate.Entry.Version))
     return Exclusion::OtherVersion;
   return contains(Query.Tried, Candidate.Entry.Id) ? Exclusion::Tried
--- a/test/explain_test.cpp
+++ b/test/explain_test.cpp
@@ -20,8 +20,8 @@
 /// A registry with a replica for each reason.
 struct ExplainFixture {
   ExplainFixture() : Registry(ChoiceSettings()) {
-    for (const char *Name :
-         {"free", "leaving", "draining", "other", "tried", "paused", "full"}) {
+    for (const char *Name : {"free", "leaving", "draining", "other", "tried",
+                             "paused", "full", "evacuated"}) {
       ReplicaEntry Entry;
       Entry.Id = UpstreamId(Name);
       Entry.Service = Service;
@@ -33,6 +33,7 @@
     this->Registry.markLeaving(UpstreamId("leaving"), Now);
     this->Registry.pause(UpstreamId("paused"), Now + absl::Seconds(1));
     this->Registry.find(UpstreamId("full"))->FullUntil = Now + absl::Seconds(1);
+    this->Registry.find(UpstreamId("evacuated"))->Evacuated = true;
     this->Query.Service = Service;
     this->Query.Rule = {VersionId("v2"), true};
     this->Query.Tried = {UpstreamId("tried")};
@@ -59,10 +60,13 @@
   CHECK(Views.at("free").IsChosen);
   CHECK(Views.at("leaving").Reason == Exclusion::Leaving);
   CHECK(Views.at("draining").Reason == Exclusion::Draining);
+  CHECK(Views.at("evacuated").Reason == Exclusion::Evacuated);
   CHECK(Views.at("other").Reason == Exclusion::OtherVersion);
   CHECK(Views.at("tried").Reason == Exclusion::Tried);
   CHECK(Views.at("paused").Reason == Exclusion::Paused);
   CHECK(Views.at("full").Reason == Exclusion::Full);
+  this->Query.Regions.Binds = true;
+  CHECK(this->views().at("free").Reason == Exclusion::OtherRegion);
   for (const auto &[Name, View] : Views)
     CHECK(View.IsCandidate == (Name == "free"));
 }
