Merge the explanation of choices

Cold replicas and those that this host crowds are reasons too. Reviewed by one who did not write it: the choice and the explanation share one copy of each predicate.

--- a/src/upstreams/choice.cpp
+++ b/src/upstreams/choice.cpp
@@ -24,16 +24,6 @@
 /// Time in which a request in progress at a brittle replica makes room.
 constexpr absl::Duration RoomDelay = absl::Milliseconds(300);
 
-bool contains(const std::vector<UpstreamId> &Ids, const UpstreamId &Id) {
-  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
-}
-
-bool allows(const VersionRule &Rule, const VersionId &Version) {
-  if (Rule.Target.empty())
-    return true;
-  return Rule.RequireTarget == (Version == Rule.Target);
-}
-
 /// The replicas of \p Group that lie in the range that \p Query prefers, or all
 /// of them when none does.
 std::vector<ReplicaPtr> preferredSlice(std::vector<ReplicaPtr> Group,
@@ -54,11 +44,6 @@
   return Slice.empty() ? Group : Slice;
 }
 
-bool allows(const RegionRule &Rule, const std::optional<size_t> &Region) {
-  return !Rule.Binds ||
-         (Region && *Region < Rule.Allowed.size() && Rule.Allowed[*Region]);
-}
-
 uint64_t mixHashes(uint64_t A, uint64_t B) {
   constexpr uint64_t GoldenRatio = 0x9E3779B97F4A7C15ULL;
   uint64_t Mixed = (A ^ (B + GoldenRatio + (A << 6) + (A >> 2))) * GoldenRatio;
@@ -77,19 +62,10 @@
   return Own / Slots;
 }
 
-bool UpstreamRegistry::isEligible(const Replica &Candidate,
-                                  const ChoiceQuery &Query) const {
-  bool Expired = Candidate.Removed && !(Query.Now < Candidate.UsableUntil);
-  return !Expired && !Candidate.Leaving && !Candidate.Entry.Draining &&
-         !Candidate.Evacuated && allows(Query.Regions, Candidate.Region) &&
-         allows(Query.Rule, Candidate.Entry.Version) &&
-         !contains(Query.Tried, Candidate.Entry.Id);
-}
-
 Instant UpstreamRegistry::earliestAvailability(const ChoiceQuery &Query) const {
   Instant Earliest{absl::InfiniteDuration()};
   for (const ReplicaPtr &Candidate : this->replicasOf(Query.Service)) {
-    if (!this->isEligible(*Candidate, Query))
+    if (ineligibilityOf(*Candidate, Query) != Exclusion::None)
       continue;
     Instant At = std::max(
         Candidate->PausedUntil,
@@ -116,22 +92,14 @@
     return Available;
   std::vector<ReplicaPtr> Crowded;
   std::vector<ReplicaPtr> Unavailable;
-  bool HasLimits = !this->Limits.empty() || this->Limits.hasWarmups();
   for (const ReplicaPtr &Candidate : Group->second) {
-    if (!this->isEligible(*Candidate, Query) ||
-        Query.Now < Candidate->PausedUntil ||
-        (HasLimits && (!this->Limits.allows(processOf(*Candidate), Query.Urgent,
-                                            Query.Now) ||
-                       !this->hasRoom(*Candidate, Query.Now))))
-      continue;
-    bool Excluded =
-        Query.Now < Candidate->EjectedUntil || Query.Now < Candidate->FullUntil;
-    bool IsCrowded =
-        HasLimits && this->Limits.isCrowded(Candidate->IdHash, Query.Now);
-    (Excluded    ? Unavailable
-     : IsCrowded ? Crowded
-                 : Available)
-        .push_back(Candidate);
+    Exclusion Reason = this->exclusionOf(*Candidate, Query);
+    if (Reason == Exclusion::None)
+      Available.push_back(Candidate);
+    else if (Reason == Exclusion::Crowded)
+      Crowded.push_back(Candidate);
+    else if (Reason == Exclusion::Ejected || Reason == Exclusion::Full)
+      Unavailable.push_back(Candidate);
   }
   if (!Available.empty())
     return Available;
