Keep a ledger of what engines keep of prompts, and tell the region

Cause: each host remembered the last 96 segments that it sent itself to an engine, with no tokens, age or memory; other hosts' prompts under 80 ms were unknown to it; the pace was learned from whole prompts although part of them was kept, with no delay before the first token.

Ruled out: that the largest model's second attempts take six times what is expected (393 against 64 ms): the first figure counts from the caller's request and holds the first model's attempt too.

Change: a library for the ledger by replica (kvCapacity, running tokens, least recently used yields) with an index from segments to holders; a digest of prompts each 50 ms to the hosts of the region, bounded in entries times recipients, in place of a datagram a prompt; one home in the region for segments that take 60 ms to read; cost of what is displaced or preempted; start delay and rate by model; metrics and log fields. test/gossip_test.cpp and test/peer_link_test.cpp state the digest instead of the single report, and check more fields than before.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -281,9 +281,9 @@
   std::function<void(const RequestInput &, Instant SentAt)> OnInputAnswered;
   /// True once this host drains and new requests must go to another host.
   std::function<bool()> RejectsNewRequests;
-  /// Called when work was sent to a replica, to notify the other hosts that use
-  /// the same replicas.
-  std::function<void(const Replica &, absl::Duration Work)> OnWorkSent;
+  /// Called when a prompt was sent to a replica, to notify the other hosts that
+  /// use the same replicas.
+  std::function<void(const Choice &)> OnWorkSent;
   /// Called when a replica stated for the first time that it is shutting down.
   std::function<void(const Replica &)> OnReplicaLeaving;
   /// Called when an answer named a limit that other hosts do not know yet.
@@ -321,6 +321,8 @@
   void setRetrySlack(double Slack);
   /// Number of requests in progress.
   size_t activeRequests() const;
+  /// Metrics of the choice of engines.
+  std::vector<Gauge> engineGauges() const;
   /// Aborts all requests in progress; streams are cut between two events.
   void abortAll();
   /// Closes connections that have exceeded the maximum idle time.
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -12,6 +12,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "berylramp/limits.h"
+#include "berylramp/prefix_cache.h"
 #include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
 #include "berylramp/routes.h"
@@ -40,12 +41,35 @@
   int64_t FullTrafficMs = 0;
 };
 
-/// Report on prefill work that a host sent to a replica which other hosts use
-/// too.
+/// Report on a prompt that a host sent to a replica which other hosts use too.
 struct WorkReport {
   /// Hash of the replica's id.
   uint64_t Replica = 0;
   int64_t WorkMs = 0;
+  PromptUse Use{};
+};
+
+/// The prompts that a host sent since its last digest; at most MaxReportedWork
+/// of them fit a datagram.
+using WorkDigest = std::vector<WorkReport>;
+inline constexpr size_t MaxReportedWork = 24;
+/// Longer chains of shared segments are reported without their end.
+inline constexpr size_t MaxReportedChain = 4;
+
+/// Collects the prompts that this host sends until the next digest.
+class WorkOutbox {
+public:
+  /// Entries of all datagrams of one digest, so that what a host sends does not
+  /// grow with the number of hosts.
+  static constexpr size_t MaxEntriesSent = 96;
+
+  void add(WorkReport Report) { this->Pending.push_back(std::move(Report)); }
+  /// Returns what \p Recipients hosts are told, the most work first, and starts
+  /// a new digest.
+  WorkDigest take(size_t Recipients);
+
+private:
+  WorkDigest Pending;
 };
 
 /// Report that a replica is shutting down.
@@ -75,7 +99,7 @@
 inline constexpr size_t MaxReportedLimits = 24;
 
 /// What a datagram may contain instead of states of hosts.
-using GossipReport = std::variant<WorkReport, LeavingReport, FullReport,
+using GossipReport = std::variant<WorkDigest, LeavingReport, FullReport,
                                   InputCrash, InputReport, LimitReports>;
 
 std::string encodeReport(const GossipReport &Report);
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "berylramp/limits.h"
+#include "berylramp/prefix_cache.h"
 #include "berylramp/timer.h"
 #include "berylramp/units.h"
 #include <array>
@@ -60,24 +61,6 @@
 /// \p Load was reported.
 double expectedWorkTime(const ReportedLoad &Load, Instant Now);
 
-/// One segment of a prompt. Requests with the same segment share its text.
-struct PromptSegment {
-  uint64_t Id = 0;
-  int64_t Tokens = 0;
-};
-
-/// The segments that an engine prefilled recently and probably still has in its
-/// prefix cache.
-class PrefixCacheEstimate {
-public:
-  bool holds(uint64_t Id) const;
-  void record(uint64_t Id);
-
-private:
-  std::vector<uint64_t> Ring;
-  size_t Next = 0;
-};
-
 /// Estimates the prefill time per prompt token from the time to the first byte
 /// of answers.
 class PrefillRateEstimator {
@@ -95,6 +78,29 @@
   int Samples = 0;
 };
 
+/// Estimates a time by the median of its samples.
+class MedianEstimator {
+public:
+  absl::Duration value() const { return absl::Milliseconds(this->Ms); }
+  void addSample(absl::Duration Sample);
+
+private:
+  double Ms = 0;
+  int Samples = 0;
+};
+
+/// The pace of a model at a service's engines.
+struct EnginePace {
+  PrefillRateEstimator Prefill;
+  /// Time to the first byte beyond the wait and the prefill.
+  MedianEstimator StartDelay;
+
+  /// Adds an answer whose first byte arrived \p Elapsed after the expected end
+  /// of the wait. The engine was to read \p Tokens in \p PrefillTime.
+  void addSample(int64_t Tokens, absl::Duration Elapsed,
+                 absl::Duration PrefillTime);
+};
+
 /// The number of tokens whose prefill without attention would take as long as
 /// that of \p Tokens: the cost of attention grows with the square of the
 /// prompt's length.
@@ -144,7 +150,9 @@
   Instant BusyUntil;
   /// Moving ratio of the measured to the expected time to the first byte.
   double LatencyRatio = 1;
-  PrefixCacheEstimate CachedSegments;
+  /// The replica's ledger of cached segments; nothing once the replica is
+  /// dropped.
+  std::optional<EngineIndex> Engine;
 };
 
 using ReplicaPtr = std::shared_ptr<Replica>;
@@ -183,6 +191,12 @@
   std::vector<PromptSegment> Segments;
   /// The model's prefill time per token, in milliseconds.
   double MsPerToken = 0;
+  /// Time from the end of the prefill to the first byte.
+  absl::Duration StartDelay;
+  /// The longest answer that the request allows, in tokens.
+  int64_t OutputTokens = 0;
+  /// The memory of one engine in tokens; 0 when the service states none.
+  int64_t CacheTokens = 0;
   /// Range of the data centre's replicas, ordered by id, to prefer; 0 to 1 is
   /// all of them.
   double PreferredFrom = 0;
@@ -201,9 +215,21 @@
   absl::Duration QueueDelay;
   /// Time to prefill this prompt.
   absl::Duration PrefillTime;
+  /// Time from the end of the prefill to the first byte.
+  absl::Duration StartDelay;
   /// The part of the prefill time that segments shared with other requests
   /// take.
   absl::Duration SharedPrefillTime;
+  /// Tokens of shared segments that the replica is expected to keep.
+  int64_t KeptTokens = 0;
+  /// The most tokens of them that any available replica keeps.
+  int64_t MostKeptTokens = 0;
+  /// When the replica last used the segments that it is expected to keep.
+  Instant KeptUsedAt;
+  /// Additional time to read the prompt if the replica has dropped them.
+  absl::Duration SavedTime;
+  /// What the request leaves in the replica's memory.
+  PromptUse Use;
 };
 
 /// Weights of the replica selection.
@@ -227,6 +253,19 @@
   /// Extra weight of the prefill time of shared segments that the engine has
   /// not cached. Keeps requests with a shared segment at one replica.
   double SharedRecomputeWeight = 3;
+  /// Distance of engines in other data centres of the own region if their
+  /// memory is stated. Work there is reported to this host, so it accounts for
+  /// transferred bytes alone.
+  double RegionEngineDistance = 0.1;
+  /// Shared segments that take longer to read are kept at one engine of the
+  /// region instead of one of each data centre.
+  absl::Duration RegionHomeTime = absl::Milliseconds(60);
+  /// Weight of the time to read again what a prompt displaces. Not all of it is
+  /// asked for again.
+  double DisplacedWeight = 0.3;
+  /// Cost of a prompt for which a replica would have to preempt a request. A
+  /// preempted request reads its prompt and its answer again.
+  absl::Duration PreemptionCost = absl::Milliseconds(500);
   /// Delay that each stream in progress adds to a new one.
   absl::Duration PerStreamDelay = absl::Milliseconds(8);
 };
@@ -322,20 +361,25 @@
   void onRequestStarted(const Choice &Chosen, const ChoiceQuery &Query);
   /// The first byte arrived \p Latency after the request was sent.
   void onFirstByte(const Choice &Chosen, absl::Duration Latency,
-                   Instant Now) const;
+                   Instant Now);
   /// The request was cancelled before its first byte.
-  void onRequestCancelled(const Choice &Chosen, Instant Now) const;
+  void onRequestCancelled(const Choice &Chosen, Instant Now);
   /// The request did not leave this host.
   void onRequestNotSent(const Choice &Chosen) const;
   /// Another host sent a prompt to the replica with the hash \p IdHash.
   void addRemoteWork(uint64_t IdHash, absl::Duration PrefillTime,
                      Instant Now) const;
+  /// Another host sent a prompt that uses \p Use of the replica's memory.
+  void addRemoteUse(uint64_t IdHash, const PromptUse &Use, Instant Now);
   void onRequestEnded(Replica &Target, Outcome Result, Instant Now) const;
+  /// The request of \p Chosen no longer uses the replica's memory; \p Complete
+  /// states that its prompt was read.
+  void onMemoryReleased(const Choice &Chosen, bool Complete, Instant Now);
   /// Drops what failed connections said about the replicas that \p Matches
   /// selects: this host was cut off from them.
   void
   forgiveFailures(const std::function<bool(const Replica &)> &Matches) const;
-  void onLoadReport(Replica &Target, const ReportedLoad &Load) const;
+  void onLoadReport(Replica &Target, const ReportedLoad &Load);
 
   /// The limits that replicas name, and this host's parts of them.
   ReplicaLimits &limits() { return this->Limits; }
@@ -344,6 +388,7 @@
   /// Computes this host's parts of all limits anew.
   void divideLimits(const LimitMembers &Members, Instant Now);
 
+  const PrefixCache &prefixCache() const { return this->Cache; }
   size_t size() const { return this->ById.size(); }
   std::vector<UpstreamId> ids() const;
   std::vector<ReplicaPtr> replicasOf(const ServiceId &Service) const;
@@ -367,8 +412,20 @@
   void eject(Replica &Target, Instant Now) const;
   Choice chooseEngine(const ChoiceQuery &Query,
                       const std::vector<ReplicaPtr> &Available) const;
+  /// Hash of the replica at which the shared segments of \p Use are kept by
+  /// agreement; 0 when there is none. \p Local are the preferred replicas of
+  /// the own data centre.
+  uint64_t homeOf(const ChoiceQuery &Query, const PromptUse &Use,
+                  const std::vector<ReplicaPtr> &Available,
+                  const std::vector<ReplicaPtr> &Local) const;
   double distance(const Replica &Target) const;
-  Choice estimate(const ReplicaPtr &Target, const ChoiceQuery &Query) const;
+  /// \p Kept lists the tokens that each engine keeps of the prompt.
+  Choice estimate(const ReplicaPtr &Target, const ChoiceQuery &Query,
+                  const std::vector<int64_t> &Kept) const;
+  /// The time that \p Query costs other requests at the replica: what it
+  /// displaces is read again, and what does not fit is preempted.
+  double costToOthers(const Replica &Target, const ChoiceQuery &Query,
+                      const Choice &Estimate) const;
 
   ChoiceSettings Settings;
   absl::flat_hash_map<std::string, ReplicaPtr> ById;
@@ -376,6 +433,7 @@
   absl::flat_hash_map<uint64_t, ReplicaPtr> ByHash;
   absl::flat_hash_map<std::string, ReplicaNotice> Notices;
   ReplicaLimits Limits;
+  PrefixCache Cache;
 };
 
 } // namespace berylramp
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -160,6 +160,8 @@
   RouteTablePtr Table = this->Shared->Table;
   Gauges.push_back({"berylramp_table_version",
                     Table ? static_cast<double>(Table->Version.count()) : -1});
+  for (Gauge &Sample : this->Shared->Relayer->engineGauges())
+    Gauges.push_back(std::move(Sample));
   return this->Shared->Counters.exposition(Gauges);
 }
 
--- a/src/edge/edge_reports.cpp
+++ b/src/edge/edge_reports.cpp
@@ -9,10 +9,13 @@
 struct EdgeDaemon::State::ReportHandler {
   State &Host;
 
-  void operator()(const WorkReport &Report) const {
-    this->Host.Registry.addRemoteWork(Report.Replica,
-                                      absl::Milliseconds(Report.WorkMs),
-                                      this->Host.Timer.now());
+  void operator()(const WorkDigest &Digest) const {
+    Instant Now = this->Host.Timer.now();
+    for (const WorkReport &Report : Digest) {
+      this->Host.Registry.addRemoteWork(
+          Report.Replica, absl::Milliseconds(Report.WorkMs), Now);
+      this->Host.Registry.addRemoteUse(Report.Replica, Report.Use, Now);
+    }
   }
   void operator()(const LeavingReport &Report) const {
     std::optional<UpstreamId> Id = this->Host.Registry.markLeaving(
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -15,7 +15,11 @@
 /// Minimum prefill time of a prompt that is reported to the hosts of the
 /// replica's data centre. The delay that shorter prompts cause does not justify
 /// the cost of the datagrams.
-constexpr absl::Duration MinReportedWork = absl::Milliseconds(80);
+constexpr absl::Duration MinReportedWork = absl::Milliseconds(20);
+/// Shared segments of a prompt are reported if they have this many tokens.
+constexpr int64_t MinReportedTokens = 1000;
+/// Time between digests of the prompts that this host sent.
+constexpr absl::Duration WorkDigestInterval = absl::Milliseconds(50);
 
 /// Fractions of the host's memory that one complete answer, and all complete
 /// answers that are being received, may take.
@@ -84,11 +88,19 @@
     return this->Leaving && this->Timer.now() - this->LeavingSince >
                                 this->Settings.RefuseNewDelay;
   };
-  Hooks.OnWorkSent = [this](const Replica &Target, absl::Duration Work) {
-    if (Work >= MinReportedWork)
-      this->Link->sendReport(
-          WorkReport{Target.IdHash, absl::ToInt64Milliseconds(Work)},
-          Target.Entry.Place);
+  Hooks.OnWorkSent = [this](const Choice &Chosen) {
+    int64_t SharedTokens = 0;
+    for (const PromptSegment &Segment : Chosen.Use.Shared)
+      SharedTokens += Segment.Tokens;
+    if (Chosen.PrefillTime < MinReportedWork &&
+        SharedTokens < MinReportedTokens)
+      return;
+    WorkReport Report{Chosen.Target->IdHash,
+                      absl::ToInt64Milliseconds(Chosen.PrefillTime),
+                      Chosen.Use};
+    if (SharedTokens < MinReportedTokens)
+      Report.Use.Shared.clear();
+    this->Link->addWork(std::move(Report), Chosen.Target->Entry.Place);
   };
   Hooks.OnReplicaLeaving = [this](const Replica &Leaving) {
     this->logLeavingReplica(Leaving.Entry.Id, "answer");
@@ -227,6 +239,8 @@
   this->Link->sendState();
   this->Timer.schedulePeriodic(TickInterval, [this] { this->tick(); });
   this->Timer.schedulePeriodic(SweepInterval, [this] { this->sweep(); });
+  this->Timer.schedulePeriodic(WorkDigestInterval,
+                               [this] { this->Link->sendWork(); });
   this->Timer.schedulePeriodic(PathProbeInterval, [this] {
     this->Relayer->probePaths();
     this->announcePaths();
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -82,17 +82,48 @@
 }
 
 void PeerLink::sendReport(const GossipReport &Report, const PlaceId &Place) {
-  bool IsWork = std::holds_alternative<WorkReport>(Report);
+  bool IsWork = std::holds_alternative<WorkDigest>(Report);
   bool IsLeaving = std::holds_alternative<LeavingReport>(Report);
   this->broadcast(encodeReport(Report), [&](const PlaceId &Other) {
     if (IsWork)
-      return Other == Place;
+      return this->sharesRegion(Other, Place);
     auto Region = this->Config.Regions.find(Other);
     return !IsLeaving || (Region != this->Config.Regions.end() &&
                           Region->second == this->Config.Region);
   });
 }
 
+bool PeerLink::sharesRegion(const PlaceId &A, const PlaceId &B) const {
+  auto RegionA = this->Config.Regions.find(A);
+  auto RegionB = this->Config.Regions.find(B);
+  bool Known = RegionA != this->Config.Regions.end() &&
+               RegionB != this->Config.Regions.end();
+  return A == B || (Known && RegionA->second == RegionB->second);
+}
+
+void PeerLink::addWork(WorkReport Report, const PlaceId &Place) {
+  // One digest for each region, under the name of its first data centre.
+  PlaceId First = Place;
+  for (const auto &[Other, Region] : this->Config.Regions)
+    if (Other < First && this->sharesRegion(Other, Place))
+      First = Other;
+  this->Outboxes[First].add(std::move(Report));
+}
+
+void PeerLink::sendWork() {
+  std::vector<const Peer *> Live = this->Peers.live(this->Timer.now());
+  for (auto &[Place, Outbox] : this->Outboxes) {
+    auto Recipients = std::count_if(
+        Live.begin(), Live.end(), [&, &Place = Place](const Peer *Target) {
+          return this->sharesRegion(Target->State.Place, Place);
+        });
+    WorkDigest Digest = Outbox.take(static_cast<size_t>(Recipients));
+    if (!Digest.empty())
+      this->sendReport(Digest, Place);
+  }
+  this->Outboxes.clear();
+}
+
 void PeerLink::receive() {
   auto Self = this->shared_from_this();
   this->Socket.async_wait(
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -26,10 +26,14 @@
   void close();
   /// Sends this host's state to a few peers.
   void sendState();
-  /// Sends a report to the hosts that it concerns: prefill work to those in
-  /// the replica's data centre \p Place, a leaving replica to this region, all
-  /// else to all hosts.
+  /// Sends a report to the hosts that it concerns: prompts to those in the
+  /// region of the replica's data centre \p Place, a leaving replica to this
+  /// region, all else to all hosts.
   void sendReport(const GossipReport &Report, const PlaceId &Place = PlaceId());
+  /// Adds a prompt that was sent to a replica in \p Place to the next digest.
+  void addWork(WorkReport Report, const PlaceId &Place);
+  /// Sends the digests of the prompts that were added since the last call.
+  void sendWork();
   /// Returns the limits to report with this host's state.
   std::function<std::vector<NamedLimit>()> LimitsToReport = [] {
     return std::vector<NamedLimit>();
@@ -48,6 +52,7 @@
   /// Sends a datagram to the live hosts in the places that \p Includes selects.
   void broadcast(const std::string &Datagram,
                  const std::function<bool(const PlaceId &)> &Includes);
+  bool sharesRegion(const PlaceId &A, const PlaceId &B) const;
 
   boost::asio::io_context &Loop;
   LoopTimer &Timer;
@@ -60,6 +65,8 @@
   uint32_t FetchPeerIp = 0;
   std::shared_ptr<HttpClient> Fetcher;
   bool FetchInFlight = false;
+  /// By a data centre of the region whose hosts receive the digest.
+  std::map<PlaceId, WorkOutbox> Outboxes;
 };
 
 } // namespace berylramp
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "engine_stats.h"
 #include "path_controller.h"
 #include "upstream_connection.h"
 #include <map>
@@ -46,7 +47,8 @@
   std::shared_ptr<PathController> Paths;
   std::map<ServiceId, RetryBudget> Budgets;
   /// By service and model.
-  std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
+  std::map<std::pair<ServiceId, ModelId>, EnginePace> Paces;
+  EngineStats Engines;
   std::unordered_set<std::shared_ptr<Relay>> Active;
   /// Bytes of complete answers that are being received.
   size_t BufferedBytes = 0;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -65,6 +65,10 @@
 
 size_t Exchange::activeRequests() const { return this->Shared->Active.size(); }
 
+std::vector<Gauge> Exchange::engineGauges() const {
+  return this->Shared->Engines.gauges();
+}
+
 void Exchange::abortAll() {
   auto Relays = this->Shared->Active;
   for (const std::shared_ptr<Relay> &ActiveRelay : Relays)
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -160,11 +160,14 @@
     uint64_t Model = stableHash(this->currentModel().text());
     for (PromptSegment &Segment : Result.Segments)
       Segment.Id ^= Model;
-    auto Rate =
-        this->Core.PrefillRates.find({this->Service, this->currentModel()});
-    Result.MsPerToken = Rate == this->Core.PrefillRates.end()
-                            ? PrefillRateEstimator().msPerToken()
-                            : Rate->second.msPerToken();
+    auto Known = this->Core.Paces.find({this->Service, this->currentModel()});
+    EnginePace Pace =
+        Known == this->Core.Paces.end() ? EnginePace() : Known->second;
+    Result.MsPerToken = Pace.Prefill.msPerToken();
+    Result.StartDelay = Pace.StartDelay.value();
+    Result.OutputTokens = this->Prompt.OutputTokens;
+    const ServiceInfo *Info = this->Table->service(this->Service);
+    Result.CacheTokens = Info == nullptr ? 0 : Info->CacheTokens.count();
   }
   Result.Tried = this->TriedReplicas;
   Result.Now = this->now();
@@ -274,8 +277,8 @@
   logEvent(LogLevel::Info, "limited_attempt", Line);
 }
 
-PrefillRateEstimator &Relay::prefillRate() {
-  return this->Core.PrefillRates[{this->Service, this->currentModel()}];
+EnginePace &Relay::pace() {
+  return this->Core.Paces[{this->Service, this->currentModel()}];
 }
 
 void Relay::sendAttempt(const Choice &Chosen, const ChoiceQuery &Query) {
@@ -286,7 +289,10 @@
   this->TriedReplicas.push_back(TargetReplica->Entry.Id);
   this->LastReplica = TargetReplica->Entry.Id.text();
   this->LastVersion = TargetReplica->Entry.Version.text();
-  this->ExpectedTime = Chosen.QueueDelay + Chosen.PrefillTime;
+  this->ExpectedTime =
+      Chosen.QueueDelay + Chosen.PrefillTime + Chosen.StartDelay;
+  this->LastChoice = Chosen;
+  this->HeadDelay = absl::ZeroDuration();
   auto NewAttempt = std::make_shared<Attempt>(this->weak_from_this(),
                                               TargetReplica, Core.Loop);
   this->Current = NewAttempt;
@@ -313,8 +319,10 @@
   if (!this->Core.Registry.limits().empty())
     this->logLimitedAttempt(*TargetReplica);
   this->Core.Registry.onRequestStarted(Chosen, Query);
-  if (Chosen.PrefillTime > absl::ZeroDuration())
-    this->Core.Hooks.OnWorkSent(*TargetReplica, Chosen.PrefillTime);
+  if (!Query.Segments.empty()) {
+    this->Core.Hooks.OnWorkSent(Chosen);
+    this->Core.Engines.onSent(this->Service, Chosen);
+  }
   this->AttemptsSent += 1;
   this->Execution.markSent();
   NewAttempt->AwaitingConnect = IsNewConnection;
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -57,7 +57,9 @@
   void sendAttempt(const Choice &Chosen, const ChoiceQuery &Query);
   /// Logs an attempt at \p Target if it names a limit.
   void logLimitedAttempt(const Replica &Target) const;
-  PrefillRateEstimator &prefillRate();
+  EnginePace &pace();
+  /// Compares the time to the first byte with what was expected.
+  void learnPace(const Attempt &Source);
   ChoiceQuery choiceQuery() const;
   ModelId currentModel() const;
   /// 0 is the most urgent.
@@ -141,6 +143,9 @@
   /// Predicted wait and work of the last attempt, logged for comparison with
   /// the actual time.
   absl::Duration ExpectedTime;
+  /// The choice of the last attempt that was sent, and the time to its head.
+  Choice LastChoice;
+  absl::Duration HeadDelay;
   ReportedLoad LastLoad;
   int AttemptsSent = 0;
   int AttemptsStarted = 0;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -24,11 +24,10 @@
   Source.LastByteAt = Now;
   if (!Source.Peer)
     this->Core.Paths->onHeard(*Source.TargetReplica);
+  this->HeadDelay = Now - Source.SentAt;
   this->Core.Registry.onFirstByte(Source.Selection, Now - Source.SentAt, Now);
   if (Head.Status == 200 && this->MatchedRoute->EventStream)
-    this->prefillRate().addSample(
-        this->Prompt.PromptTokens,
-        absl::ToDoubleMilliseconds(Now - Source.SentAt));
+    this->learnPace(Source);
   ReportedLoad Load;
   const std::string *Text = findHeader(Head.Headers, Names.ReplicaLoad);
   if (Text != nullptr && parseLoad(*Text, Load)) {
@@ -74,6 +73,16 @@
   this->awaitEvent(Source);
 }
 
+void Relay::learnPace(const Attempt &Source) {
+  const Choice &Expected = Source.Selection;
+  this->Core.Engines.onFirstByte(
+      this->currentModel(), Source.TargetReplica->Entry.Place,
+      this->ExpectedTime, this->HeadDelay);
+  this->pace().addSample(this->Prompt.PromptTokens - Expected.KeptTokens,
+                         this->HeadDelay - Expected.QueueDelay,
+                         Expected.PrefillTime);
+}
+
 // A replica's silence ends an attempt only if another one may continue it.
 void Relay::awaitEvent(Attempt &Source) {
   if (Source.IsStreaming && this->mayRetry())
@@ -88,7 +97,7 @@
   if (Larger.Target == nullptr)
     return true;
   absl::Duration Elapsed = this->now() - this->Request.ArrivedAt;
-  return Elapsed + Larger.QueueDelay + Larger.PrefillTime >
+  return Elapsed + Larger.QueueDelay + Larger.PrefillTime + Larger.StartDelay >
          this->MatchedRoute->ResponseTarget;
 }
 
@@ -210,6 +219,7 @@
   this->observeEvents(Source, true);
   this->Core.Pool.release(Source.TargetReplica->Entry.Id, Source.Connection,
                           this->now());
+  this->Core.Registry.onMemoryReleased(Source.Selection, true, this->now());
   this->Core.Registry.onRequestEnded(*Source.TargetReplica, Outcome::Good,
                                      this->now());
   this->Current.reset();
@@ -238,6 +248,7 @@
   this->noteInputAnswered(Source);
   this->Core.Pool.release(Source.TargetReplica->Entry.Id, Source.Connection,
                           this->now());
+  this->Core.Registry.onMemoryReleased(Source.Selection, Good, this->now());
   this->Core.Registry.onRequestEnded(*Source.TargetReplica,
                                      Good ? Outcome::Good : Outcome::Failed,
                                      this->now());
@@ -321,6 +332,10 @@
   if (!EndedAttempt->FirstByteReceived)
     this->Core.Registry.onRequestCancelled(EndedAttempt->Selection,
                                            this->now());
+  bool Ran = EndedAttempt->FirstByteReceived && Result != Outcome::Full &&
+             Result != Outcome::Misdirected;
+  this->Core.Registry.onMemoryReleased(EndedAttempt->Selection, Ran,
+                                       this->now());
   this->Core.Registry.onRequestEnded(*EndedAttempt->TargetReplica, Result,
                                      this->now());
 }
--- a/src/gossip/report_codec.cpp
+++ b/src/gossip/report_codec.cpp
@@ -18,6 +18,9 @@
 /// More segments of a prompt are not reported.
 constexpr size_t MaxReportedSegments = 32;
 constexpr uint32_t LimitFields = 5;
+constexpr uint32_t WorkFields = 4;
+/// Larger numbers of tokens or milliseconds are malformed.
+constexpr int64_t MaxReportedCount = 100'000'000;
 /// States that a replica names no limit any more.
 constexpr double NoLimit = -1;
 
@@ -30,10 +33,23 @@
     this->Writer.pack(static_cast<int>(Kind));
   }
 
-  void operator()(const WorkReport &Report) const {
-    this->begin(ReportKind::Work, 2);
-    this->Writer.pack(Report.Replica);
-    this->Writer.pack(Report.WorkMs);
+  void operator()(const WorkDigest &Digest) const {
+    size_t Count = std::min(Digest.size(), MaxReportedWork);
+    this->begin(ReportKind::Work, 1);
+    this->Writer.pack_array(static_cast<uint32_t>(Count));
+    for (size_t Index = 0; Index < Count; ++Index) {
+      const WorkReport &Report = Digest[Index];
+      size_t Chain = std::min(Report.Use.Shared.size(), MaxReportedChain);
+      this->Writer.pack_array(WorkFields);
+      this->Writer.pack(Report.Replica);
+      this->Writer.pack(Report.WorkMs);
+      this->Writer.pack(Report.Use.PrivateTokens);
+      this->Writer.pack_array(static_cast<uint32_t>(2 * Chain));
+      for (size_t Position = 0; Position < Chain; ++Position) {
+        this->Writer.pack(Report.Use.Shared[Position].Id);
+        this->Writer.pack(Report.Use.Shared[Position].Tokens);
+      }
+    }
   }
   void operator()(const LeavingReport &Report) const {
     this->begin(ReportKind::Leaving, 2);
@@ -82,6 +98,33 @@
   return Value.via.array;
 }
 
+int64_t unpackCount(const msgpack::object &Value) {
+  auto Count = Value.as<int64_t>();
+  if (Count < 0 || Count > MaxReportedCount)
+    throw msgpack::type_error();
+  return Count;
+}
+
+WorkDigest unpackWork(const msgpack::object &Value) {
+  WorkDigest Digest;
+  const msgpack::object_array &Entries = arrayOf(Value);
+  if (Entries.size > MaxReportedWork)
+    throw msgpack::type_error();
+  for (uint32_t Index = 0; Index < Entries.size; ++Index) {
+    const msgpack::object *Fields = arrayFields(Entries.ptr[Index], WorkFields);
+    WorkReport Report{Fields[0].as<uint64_t>(), unpackCount(Fields[1]), {}};
+    Report.Use.PrivateTokens = unpackCount(Fields[2]);
+    const msgpack::object_array &Chain = arrayOf(Fields[3]);
+    if (Chain.size % 2 != 0 || Chain.size > 2 * MaxReportedChain)
+      throw msgpack::type_error();
+    for (uint32_t Position = 0; Position < Chain.size; Position += 2)
+      Report.Use.Shared.push_back({Chain.ptr[Position].as<uint64_t>(),
+                                   unpackCount(Chain.ptr[Position + 1])});
+    Digest.push_back(std::move(Report));
+  }
+  return Digest;
+}
+
 InputCrash unpackCrash(const msgpack::object *Fields) {
   InputCrash Crash;
   Crash.Replica = Fields[0].as<uint64_t>();
@@ -118,8 +161,8 @@
   auto CheckFields = [&](uint32_t Count) { arrayFields(Value, Count + 1); };
   switch (static_cast<ReportKind>(Entries.ptr[0].as<int>())) {
   case ReportKind::Work:
-    CheckFields(2);
-    return WorkReport{Fields[0].as<uint64_t>(), Fields[1].as<int64_t>()};
+    CheckFields(1);
+    return unpackWork(Fields[0]);
   case ReportKind::Leaving:
     CheckFields(2);
     return LeavingReport{Fields[0].as<uint64_t>(), Fields[1].as<int64_t>()};
--- a/src/upstreams/estimators.cpp
+++ b/src/upstreams/estimators.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Segments that an engine is assumed to cache; when the ring is full, the
-/// segment that was added first is replaced.
-constexpr size_t MaxCachedSegments = 96;
 /// Prompt length, in tokens, at which attention takes as long as all other
 /// computation of the prefill.
 constexpr double AttentionParityTokens = 60000;
@@ -18,34 +15,23 @@
 /// their time to the first byte.
 constexpr int64_t MinSampleTokens = 1500;
 /// Relative step of the estimate towards a sample, and the quantile of the
-/// samples that it converges to. Queueing makes samples too long and cached
-/// segments make them too short, so the mean would be biased.
+/// samples that it converges to. A wait that is not known makes some samples
+/// far too long, so the mean would be biased.
 constexpr double RateStep = 0.04;
 constexpr double InitialRateStep = 1.5;
 constexpr double MaxRateStep = 0.5;
-constexpr double RateQuantile = 0.3;
-} // namespace
-
-bool PrefixCacheEstimate::holds(uint64_t Id) const {
-  return std::find(this->Ring.begin(), this->Ring.end(), Id) !=
-         this->Ring.end();
-}
+constexpr double RateQuantile = 0.5;
+/// Step of a median estimate towards a sample, as a part of the estimate or of
+/// the least time that matters.
+constexpr double MedianStep = 0.05;
+constexpr double MinMedianMs = 4;
 
-void PrefixCacheEstimate::record(uint64_t Id) {
-  if (this->holds(Id))
-    return;
-  if (this->Ring.size() < MaxCachedSegments) {
-    this->Ring.push_back(Id);
-    return;
-  }
-  this->Ring[this->Next] = Id;
-  this->Next = (this->Next + 1) % MaxCachedSegments;
-}
+} // namespace
 
 void PrefillRateEstimator::addSample(int64_t Tokens, double Ms) {
   if (Tokens < MinSampleTokens)
     return;
-  double Sample = Ms / effectiveTokens(Tokens);
+  double Sample = std::max(Ms, 0.0) / effectiveTokens(Tokens);
   double Step = Sample < this->Rate ? RateQuantile - 1 : RateQuantile;
   // The first samples move the estimate in large steps, so that it converges
   // soon after the host starts.
@@ -55,6 +41,32 @@
   this->Rate *= 1 + std::min(Size, MaxRateStep) * Step;
 }
 
+void MedianEstimator::addSample(absl::Duration Sample) {
+  double SampleMs = std::max(0.0, absl::ToDoubleMilliseconds(Sample));
+  this->Samples += 1;
+  if (this->Samples == 1) {
+    this->Ms = SampleMs;
+    return;
+  }
+  double Weight = std::max(MedianStep, 1.0 / this->Samples);
+  double Step = Weight * std::max(this->Ms, MinMedianMs);
+  if (SampleMs < this->Ms)
+    this->Ms = std::max(SampleMs, this->Ms - Step);
+  else
+    this->Ms = std::min(SampleMs, this->Ms + Step);
+}
+
+void EnginePace::addSample(int64_t Tokens, absl::Duration Elapsed,
+                           absl::Duration PrefillTime) {
+  // Short prompts show the delay, and long ones the rate.
+  if (Tokens < MinSampleTokens)
+    this->StartDelay.addSample(Elapsed - PrefillTime);
+  else
+    this->Prefill.addSample(
+        Tokens,
+        absl::ToDoubleMilliseconds(Elapsed - this->StartDelay.value()));
+}
+
 double expectedWorkTime(const ReportedLoad &Load, Instant Now) {
   return Load.WorkTime;
 }
--- a/src/upstreams/outcomes.cpp
+++ b/src/upstreams/outcomes.cpp
@@ -37,6 +37,9 @@
 /// Answers expected sooner than this do not change the latency ratio: network
 /// latency dominates them.
 constexpr double MinExpectedMs = 40;
+/// A prompt's time to the first byte shows whether cached segments were used
+/// only if they save at least this time.
+constexpr absl::Duration MinVisibleSaving = absl::Milliseconds(150);
 
 } // namespace
 
@@ -59,15 +62,24 @@
   Target.SentSinceReport += 1;
   Target.BusyUntil =
       std::max(Target.BusyUntil, Query.Now, std::less<>()) + Chosen.PrefillTime;
-  for (const PromptSegment &Segment : Query.Segments)
-    Target.CachedSegments.record(Segment.Id);
+  if (Query.Segments.empty() || !Target.Engine)
+    return;
+  if (Query.CacheTokens > 0)
+    this->Cache.setCapacity(*Target.Engine, Query.CacheTokens);
+  this->Cache.onStarted(*Target.Engine, Chosen.Use, Query.Now);
 }
 
 void UpstreamRegistry::onFirstByte(const Choice &Chosen, absl::Duration Latency,
-                                   Instant Now) const {
+                                   Instant Now) {
   Replica &Target = *Chosen.Target;
-  double Expected =
-      absl::ToDoubleMilliseconds(Chosen.QueueDelay + Chosen.PrefillTime);
+  // The wait is known only in part, so a short saving would not show.
+  absl::Duration ExpectedTime =
+      Chosen.QueueDelay + Chosen.PrefillTime + Chosen.StartDelay;
+  bool WasDropped = Chosen.SavedTime >= MinVisibleSaving &&
+                    Latency >= ExpectedTime + Chosen.SavedTime;
+  if (WasDropped && Target.Engine)
+    this->Cache.dropUsedUntil(*Target.Engine, Chosen.KeptUsedAt);
+  double Expected = absl::ToDoubleMilliseconds(ExpectedTime);
   if (Expected < MinExpectedMs)
     return;
   double Ratio = absl::ToDoubleMilliseconds(Latency) / Expected;
@@ -75,14 +87,23 @@
   Target.LatencyRatio =
       std::clamp(Target.LatencyRatio, MinLatencyRatio, MaxLatencyRatio);
   // The prompts that were queued before this request are prefilled by now.
-  absl::Duration Delay = Latency - (Chosen.QueueDelay + Chosen.PrefillTime);
+  absl::Duration Delay = Latency - ExpectedTime;
   Target.BusyUntil = Target.BusyUntil + Delay;
   if (Target.BusyUntil < Now)
     Target.BusyUntil = Now;
 }
 
-void UpstreamRegistry::onRequestCancelled(const Choice &Chosen,
-                                          Instant Now) const {
+void UpstreamRegistry::onMemoryReleased(const Choice &Chosen, bool Complete,
+                                        Instant Now) {
+  if (!Chosen.Target->Engine || Chosen.Use.PrivateTokens == 0)
+    return;
+  EngineIndex Engine = *Chosen.Target->Engine;
+  this->Cache.onEnded(Engine, Chosen.Use, Complete, Now);
+  if (!Complete && Chosen.KeptTokens == 0)
+    this->Cache.forget(Engine, Chosen.Use.Shared);
+}
+
+void UpstreamRegistry::onRequestCancelled(const Choice &Chosen, Instant Now) {
   Replica &Target = *Chosen.Target;
   Target.BusyUntil = Instant{Target.BusyUntil.SinceStart - Chosen.PrefillTime};
   if (Target.BusyUntil < Now)
@@ -105,6 +126,13 @@
       std::max(Target.BusyUntil, Now, std::less<>()) + PrefillTime;
 }
 
+void UpstreamRegistry::addRemoteUse(uint64_t IdHash, const PromptUse &Use,
+                                    Instant Now) {
+  auto Found = this->ByHash.find(IdHash);
+  if (Found != this->ByHash.end())
+    this->Cache.onReported(*Found->second->Engine, Use, Now);
+}
+
 void UpstreamRegistry::eject(Replica &Target, Instant Now) const {
   auto Group = this->ByService.find(Target.Entry.Service.text());
   if (Group == this->ByService.end())
@@ -180,10 +208,11 @@
   }
 }
 
-void UpstreamRegistry::onLoadReport(Replica &Target,
-                                    const ReportedLoad &Load) const {
+void UpstreamRegistry::onLoadReport(Replica &Target, const ReportedLoad &Load) {
   Target.Load = Load;
   Target.SentSinceReport = 0;
+  if (Target.Engine)
+    this->Cache.setOthersRunning(*Target.Engine, Load.Running - Target.InFlight);
 }
 
 } // namespace berylramp
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -31,6 +31,7 @@
   if (Slot == nullptr) {
     Slot = std::make_shared<Replica>();
     Slot->IdHash = stableHash(Entry.Id.text());
+    Slot->Engine = this->Cache.add();
     this->ByService[Entry.Service.text()].push_back(Slot);
     this->ByHash[Slot->IdHash] = Slot;
     auto Notice = this->Notices.find(Entry.Id.text());
@@ -115,6 +116,8 @@
     return;
   Found->Removed = true;
   Found->UsableUntil = Now;
+  this->Cache.remove(*Found->Engine);
+  Found->Engine.reset();
   auto &Group = this->ByService[Found->Entry.Service.text()];
   Group.erase(std::remove(Group.begin(), Group.end(), Found), Group.end());
   this->ByHash.erase(Found->IdHash);
--- a/test/gossip_test.cpp
+++ b/test/gossip_test.cpp
@@ -37,9 +37,17 @@
   auto Full = std::get<FullReport>(Decode(FullReport{8, 12346}));
   CHECK(Full.Replica == 8);
   CHECK(Full.StartedAtMs == 12346);
-  auto Work = std::get<WorkReport>(Decode(WorkReport{9, 80}));
-  CHECK(Work.Replica == 9);
-  CHECK(Work.WorkMs == 80);
+  auto Work = std::get<WorkDigest>(
+      Decode(WorkDigest{{9, 80, {{{1, 500}, {2, 4000}}, 700}}, {10, 20}}));
+  REQUIRE(Work.size() == 2);
+  CHECK(Work[0].Replica == 9);
+  CHECK(Work[0].WorkMs == 80);
+  CHECK(Work[0].Use.PrivateTokens == 700);
+  REQUIRE(Work[0].Use.Shared.size() == 2);
+  CHECK(Work[0].Use.Shared[1].Id == 2);
+  CHECK(Work[0].Use.Shared[1].Tokens == 4000);
+  CHECK(Work[1].Replica == 10);
+  CHECK(Work[1].WorkMs == 20);
   for (bool Ends : {true, false}) {
     auto Input = std::get<InputReport>(Decode(InputReport{10, Ends}));
     CHECK(Input.Input == 10);
@@ -62,7 +70,7 @@
   PeerTable Peers(makeState(1));
   PeerTable Other(makeState(2));
   CHECK_FALSE(decodeReport(Peers.encode(atSecond(0))));
-  CHECK_FALSE(Other.merge(encodeReport(WorkReport{7, 80}), atSecond(0)));
+  CHECK_FALSE(Other.merge(encodeReport(WorkDigest{{7, 80}}), atSecond(0)));
 }
 
 TEST_CASE("A host's state spreads through other hosts") {
@@ -175,11 +183,30 @@
     PeerTable B(makeState(2));
     CHECK_FALSE(B.merge(Datagram.substr(0, Size), atSecond(0)));
   }
-  std::string Report = encodeReport(WorkReport{42, 350});
+  std::string Report = encodeReport(WorkDigest{{42, 350, {{{1, 5}}, 3}}});
   for (size_t Size = 0; Size < Report.size(); ++Size)
     CHECK_FALSE(decodeReport(Report.substr(0, Size)));
 }
 
+TEST_CASE("Digests of work have a bounded size and plausible figures") {
+  uint64_t Large = ~uint64_t{0};
+  WorkReport Long{Large, 90'000'000, {{}, 90'000'000}};
+  for (uint64_t Id = 0; Id < 40; ++Id)
+    Long.Use.Shared.push_back({Large - Id, 90'000'000});
+  std::string Datagram = encodeReport(WorkDigest(100, Long));
+  // Hosts read datagrams of at most 2,048 bytes.
+  CHECK(Datagram.size() <= 2048);
+  auto Decoded = std::get<WorkDigest>(*decodeReport(Datagram));
+  CHECK(Decoded.size() == MaxReportedWork);
+  CHECK(Decoded[0].Use.Shared.size() == MaxReportedChain);
+  for (int64_t Bad : {int64_t{-1}, int64_t{1} << 60}) {
+    CHECK_FALSE(decodeReport(encodeReport(WorkDigest{{7, Bad}})));
+    CHECK_FALSE(decodeReport(encodeReport(WorkDigest{{7, 1, {{}, Bad}}})));
+    CHECK_FALSE(
+        decodeReport(encodeReport(WorkDigest{{7, 1, {{{1, Bad}}, 0}}})));
+  }
+}
+
 TEST_CASE("A silent host stays among the targets") {
   PeerTable Peers(makeState(1));
   Peers.addAddress(2, atSecond(0));
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -22,7 +22,8 @@
     this->Link = std::make_shared<PeerLink>(Loop, Timer, this->Counters,
                                             this->Config, this->Peers, 3);
     this->Link->OnReport = [this](const GossipReport &Report) {
-      this->ReceivedWorkMs.push_back(std::get<WorkReport>(Report).WorkMs);
+      for (const WorkReport &Work : std::get<WorkDigest>(Report))
+        this->ReceivedWorkMs.push_back(Work.WorkMs);
     };
     REQUIRE(this->Link->open().ok());
   }
@@ -82,8 +83,8 @@
                  "Load pattern: work at remote engines is reported there") {
   // Hosts in the engine's data centre choose it most often, so they need the
   // prefill work that other data centres send to it.
-  this->Near.Link->sendReport(WorkReport{7, 300}, PlaceId("a1"));
-  this->Near.Link->sendReport(WorkReport{7, 400}, PlaceId("b1"));
+  this->Near.Link->sendReport(WorkDigest{{7, 300}}, PlaceId("a1"));
+  this->Near.Link->sendReport(WorkDigest{{7, 400}}, PlaceId("b1"));
   this->runUntil([&] { return !this->Far.ReceivedWorkMs.empty(); });
   CHECK(this->Far.ReceivedWorkMs == std::vector<int64_t>{400});
 }
