Merge the ledger of what engines keep of prompts

Reviewed by one who did not write it: a choice weighs the wait, what is not kept and what a prompt displaces; the explanation of choices uses the ledger; a replica that returns cold keeps nothing.

--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "engine_stats.h"
 #include "held_memory.h"
 #include "path_controller.h"
 #include "upstream_connection.h"
@@ -55,7 +56,8 @@
   std::shared_ptr<PathController> Paths;
   std::map<ServiceId, RetryBudget> Budgets;
   /// By service and model.
-  std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
+  std::map<std::pair<ServiceId, ModelId>, EnginePace> Paces;
+  EngineStats Engines;
   std::unordered_set<std::shared_ptr<Relay>> Active;
   /// Replicas whose load reports were logged as unusable.
   std::set<UpstreamId> LoggedLoads;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -78,6 +78,10 @@
   return this->Shared->Memory->account();
 }
 
+std::vector<Gauge> Exchange::engineGauges() const {
+  return this->Shared->Engines.gauges();
+}
+
 void Exchange::abortAll() {
   auto Relays = this->Shared->Active;
   for (const std::shared_ptr<Relay> &ActiveRelay : Relays)
--- a/src/upstreams/explain.cpp
+++ b/src/upstreams/explain.cpp
@@ -28,17 +28,6 @@
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
 
-/// Tokens of the segments at the prompt's beginning that the engine has cached.
-int64_t cachedTokens(const Replica &Target, const ChoiceQuery &Query) {
-  int64_t Tokens = 0;
-  for (size_t Index = 0; Index + 1 < Query.Segments.size(); ++Index) {
-    if (!Target.CachedSegments.holds(Query.Segments[Index].Id))
-      break;
-    Tokens += Query.Segments[Index].Tokens;
-  }
-  return Tokens;
-}
-
 } // namespace
 
 const char *exclusionName(Exclusion Reason) {
@@ -120,6 +109,8 @@
 UpstreamRegistry::explain(const ChoiceQuery &Query) const {
   std::vector<ReplicaPtr> Considered = this->candidates(Query);
   Choice Chosen = this->choose(Query);
+  PromptUse Use = promptUse(Query.Segments, Query.OutputTokens);
+  std::vector<int64_t> Kept = this->Cache.keptTokens(Use.Shared, Query.Now);
   std::vector<ReplicaView> Views;
   for (const ReplicaPtr &Member : this->replicasOf(Query.Service)) {
     ReplicaView View;
@@ -129,8 +120,10 @@
                                  Member) != Considered.end();
     View.IsChosen = Member == Chosen.Target;
     View.Load = this->loadOf(*Member, Query.Now);
-    View.Expected = this->estimate(Member, Query);
-    View.CachedTokens = cachedTokens(*Member, Query);
+    if (!Query.Segments.empty()) {
+      View.CachedTokens = Kept[*Member->Engine];
+      View.Expected = this->estimate(Member, Query, Use, View.CachedTokens);
+    }
     Views.push_back(std::move(View));
   }
   std::sort(Views.begin(), Views.end(),
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -58,6 +58,7 @@
   if (IsNew) {
     Slot = std::make_shared<Replica>();
     Slot->IdHash = stableHash(Entry.Id.text());
+    Slot->Engine = this->Cache.add();
     this->ByService[Entry.Service.text()].push_back(Slot);
     this->ByHash[Slot->IdHash] = Slot;
     auto Notice = this->Notices.find(Entry.Id.text());
@@ -70,8 +71,9 @@
   // A replica that returns after a silence and is cold has restarted.
   bool MayHaveRestarted = Slot->Removed || Now < Slot->SuspectUntil;
   if (MayHaveRestarted && Entry.isCold())
-    Slot->CachedSegments = PrefixCacheEstimate();
+    this->Cache.clear(*Slot->Engine);
   Slot->Entry = Entry;
+  Slot->Distance = this->distance(Entry.Place);
   Slot->Removed = false;
   Slot->Evacuated = this->Evacuated.count(Entry.Place) > 0;
   auto Region = this->Settings.Regions.find(Entry.Place);
@@ -153,6 +155,8 @@
     return;
   Found->Removed = true;
   Found->UsableUntil = Now;
+  this->Cache.remove(*Found->Engine);
+  Found->Engine.reset();
   auto &Group = this->ByService[Found->Entry.Service.text()];
   Group.erase(std::remove(Group.begin(), Group.end(), Found), Group.end());
   this->ByHash.erase(Found->IdHash);
