--- a/include/berylramp/cascade.h
+++ b/include/berylramp/cascade.h
@@ -26,8 +26,6 @@
   int AttemptsLeft = 1;
   /// True when the larger model's answer would miss the route's target time.
   bool LargerIsLate = false;
-  /// No other requests to the service are more urgent, and some are less.
-  bool MostUrgent = false;
 };
 
 struct CascadeSettings {
--- a/include/berylramp/routes.h
+++ b/include/berylramp/routes.h
@@ -107,12 +107,6 @@
 using TableVersion = Quantity<struct TableVersionTag>;
 inline constexpr TableVersion NoTable{-1};
 
-/// The priorities of the routes to one service.
-struct PriorityRange {
-  int MostUrgent = 0;
-  int LeastUrgent = 0;
-};
-
 /// One immutable version of the table.
 struct RouteTable {
   TableVersion Version = NoTable;
@@ -124,8 +118,6 @@
   absl::flat_hash_map<std::string, size_t> Keys;
   /// Maps a host to indices into Routes, longest prefix first.
   absl::flat_hash_map<std::string, std::vector<size_t>> RoutesByHost;
-  /// By service.
-  absl::flat_hash_map<std::string, PriorityRange> Priorities;
 
   const ServiceInfo *service(const ServiceId &Id) const;
 };
@@ -156,11 +148,6 @@
 /// The priority of the most urgent route to \p Service.
 int mostUrgentPriority(const RouteTable &Table, const ServiceId &Service);
 
-/// Whether no route to \p Service is more urgent than \p Candidate, and some
-/// are less urgent.
-bool isMostUrgent(const RouteTable &Table, const Route &Candidate,
-                  const ServiceId &Service);
-
 /// Selects a service by weight. \p Draw is a random number in [0, 1).
 ServiceId pickService(const Route &Source, double Draw);
 
--- a/src/cascade/cascade.cpp
+++ b/src/cascade/cascade.cpp
@@ -2,8 +2,7 @@
 //
 // The smallest model costs a few hundredths of the largest. Trying it first is
 // worthwhile if the confidence that it reports separates good answers from poor
-// ones. The room of the largest model goes to the most urgent requests first:
-// they begin with it while it answers in time.
+// ones.
 //
 //===----------------------------------------------------------------------===//
 
@@ -19,8 +18,6 @@
   // third one is reserved for a failure.
   if (Query.AttemptsLeft < 3 || Settings.MinConfidence > 100)
     return Largest;
-  if (Query.MostUrgent && !Query.LargerIsLate)
-    return Largest;
   double MaxProbeCost =
       Query.CostPerThousand[Largest] * Settings.MaxProbeCostRatio;
   return Query.CostPerThousand[0] <= MaxProbeCost ? 0 : Largest;
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -148,10 +148,6 @@
   this->Cascade.PromptTokens = this->Prompt.PromptTokens;
   this->Cascade.OutputTokens = this->Prompt.OutputTokens;
   this->Cascade.AttemptsLeft = this->MatchedRoute->MaxAttempts;
-  this->Cascade.MostUrgent =
-      isMostUrgent(*this->Table, *this->MatchedRoute, this->Service);
-  this->Cascade.LargerIsLate =
-      this->Cascade.MostUrgent && this->largerModelIsLate();
   // A resumed answer uses the last model, which is able to answer any request.
   this->ModelIndex =
       Last >= 0 ? this->MatchedRoute->Models.size() - 1
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -165,8 +165,6 @@
   Choice LastChoice;
   absl::Duration HeadDelay;
   ReportedLoad LastLoad;
-  /// Confidence of the last answer of a smaller model, logged; -1 for none.
-  int LastConfidence = -1;
   int AttemptsSent = 0;
   int AttemptsStarted = 0;
   EventSequence Sequence;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -111,9 +111,6 @@
   int Confidence = 0;
   if (Text == nullptr || !absl::SimpleAtoi(*Text, &Confidence))
     return false;
-  bool IsLargest = this->ModelIndex + 1 >= this->Cascade.CostPerThousand.size();
-  if (!IsLargest)
-    this->LastConfidence = Confidence;
   CascadeQuery Query = this->Cascade;
   Query.AttemptsLeft = this->MatchedRoute->MaxAttempts - this->AttemptsSent + 1;
   Query.LargerIsLate = this->largerModelIsLate();
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -150,8 +150,6 @@
   }
   if (this->ChoosesModel)
     Line["model"] = this->MatchedRoute->Models[this->ModelIndex].text();
-  if (this->LastConfidence >= 0)
-    Line["confidence"] = this->LastConfidence;
   if (const std::string *Session =
           findHeader(this->Request.Headers, this->Core.Settings.Names.Session))
     Line["session"] = *Session;
--- a/src/routes/routes.cpp
+++ b/src/routes/routes.cpp
@@ -25,15 +25,6 @@
   Table.RoutesByHost.clear();
   for (size_t Index = 0; Index < Table.Routes.size(); ++Index)
     Table.RoutesByHost[Table.Routes[Index].Host].push_back(Index);
-  Table.Priorities.clear();
-  for (const Route &Row : Table.Routes)
-    for (const ServiceShare &Share : Row.ServiceShares) {
-      auto [Entry, IsNew] = Table.Priorities.try_emplace(
-          Share.Service.text(), PriorityRange{Row.Priority, Row.Priority});
-      PriorityRange &Range = Entry->second;
-      Range.MostUrgent = std::min(Range.MostUrgent, Row.Priority);
-      Range.LeastUrgent = std::max(Range.LeastUrgent, Row.Priority);
-    }
   for (auto &[Host, Indices] : Table.RoutesByHost)
     std::stable_sort(Indices.begin(), Indices.end(), [&](size_t A, size_t B) {
       return Table.Routes[A].Prefix.size() > Table.Routes[B].Prefix.size();
@@ -91,17 +82,12 @@
 }
 
 int mostUrgentPriority(const RouteTable &Table, const ServiceId &Service) {
-  auto Found = Table.Priorities.find(Service.text());
-  return Found == Table.Priorities.end() ? std::numeric_limits<int>::max()
-                                         : Found->second.MostUrgent;
-}
-
-bool isMostUrgent(const RouteTable &Table, const Route &Candidate,
-                  const ServiceId &Service) {
-  auto Found = Table.Priorities.find(Service.text());
-  return Found != Table.Priorities.end() &&
-         Candidate.Priority <= Found->second.MostUrgent &&
-         Candidate.Priority < Found->second.LeastUrgent;
+  int Lowest = std::numeric_limits<int>::max();
+  for (const Route &Candidate : Table.Routes)
+    for (const ServiceShare &Share : Candidate.ServiceShares)
+      if (Share.Service == Service)
+        Lowest = std::min(Lowest, Candidate.Priority);
+  return Lowest;
 }
 
 ServiceId pickService(const Route &Source, double Draw) {
