Order requests by urgency when replicas are short of room

Cause: all requests were sent at once up to a constant utilization, so a flood of the least urgent kind took the room of urgent callers. Change: where priorities of a service differ, less urgent requests wait at the host until the expected wait leaves head room, age towards their latest start, and are refused with a spread Retry-After if they cannot start before their deadline. Shares of workspaces are averaged by gossip.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -14,6 +14,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "berylramp/cascade.h"
+#include "berylramp/dispatch.h"
 #include "berylramp/observe.h"
 #include "berylramp/paths.h"
 #include "berylramp/quarantine.h"
@@ -235,6 +236,7 @@
   /// This host's share of the retries to one service.
   RetryShares Retries{0.7, 0.1, 3, absl::Seconds(10)};
   CascadeSettings Cascade;
+  DispatchSettings Dispatch;
 };
 
 /// Progress of an attempt that shows the quality of a version.
@@ -321,6 +323,15 @@
   void setRetrySlack(double Slack);
   /// Number of requests in progress.
   size_t activeRequests() const;
+  /// Number of requests that wait for room.
+  size_t waitingRequests() const;
+  /// Decides on all waiting requests; to be called when this host starts to
+  /// reject new requests.
+  void retryWaiting();
+  /// The shares of workspaces that this host knows, by hash of the service.
+  std::vector<std::pair<uint64_t, WorkspaceShares>> workspaceShares();
+  /// Applies the shares that another host reported.
+  void mergeShares(uint64_t ServiceHash, const WorkspaceShares &Shares);
   /// Aborts all requests in progress; streams are cut between two events.
   void abortAll();
   /// Closes connections that have exceeded the maximum idle time.
--- a/include/berylramp/gossip.h
+++ b/include/berylramp/gossip.h
@@ -11,6 +11,7 @@
 #define BERYLRAMP_GOSSIP_H
 
 #include "absl/container/flat_hash_map.h"
+#include "berylramp/dispatch.h"
 #include "berylramp/limits.h"
 #include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
@@ -74,9 +75,17 @@
 using LimitReports = std::vector<NamedLimit>;
 inline constexpr size_t MaxReportedLimits = 24;
 
+/// The shares of workspaces in the use of a service.
+struct ShareReport {
+  /// Hash of the service's id.
+  uint64_t Service = 0;
+  WorkspaceShares Shares;
+};
+
 /// What a datagram may contain instead of states of hosts.
-using GossipReport = std::variant<WorkReport, LeavingReport, FullReport,
-                                  InputCrash, InputReport, LimitReports>;
+using GossipReport =
+    std::variant<WorkReport, LeavingReport, FullReport, InputCrash, InputReport,
+                 LimitReports, ShareReport>;
 
 std::string encodeReport(const GossipReport &Report);
 /// Nothing when \p Datagram contains no report.
--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -72,10 +72,13 @@
   RatingsReceived,
   HoldsTripped,
   ReplicaEjections,
-  PaidLinkBytes
+  PaidLinkBytes,
+  RequestsDelayed,
+  RefusedBeyondDeadline,
+  RefusedForUtilization
 };
 inline constexpr int CounterCount =
-    static_cast<int>(Counter::PaidLinkBytes) + 1;
+    static_cast<int>(Counter::RefusedForUtilization) + 1;
 
 /// Latency histograms, in seconds.
 enum class Latency {
@@ -85,9 +88,11 @@
   Decision,
   LogAppend,
   BillSafe,
-  ConfigLag
+  ConfigLag,
+  /// Time for which a request waited at this host for room.
+  DispatchWait
 };
-inline constexpr int LatencyCount = static_cast<int>(Latency::ConfigLag) + 1;
+inline constexpr int LatencyCount = static_cast<int>(Latency::DispatchWait) + 1;
 
 /// A value sampled when the metrics are read.
 struct Gauge {
--- a/include/berylramp/upstreams.h
+++ b/include/berylramp/upstreams.h
@@ -206,6 +206,17 @@
   absl::Duration SharedPrefillTime;
 };
 
+/// The room of a service's replicas.
+struct ServiceRoom {
+  /// Mean of requests per slot over the candidates; 1 when there is none.
+  double Utilization = 1;
+  /// Mean time until the prompts sent before are prefilled, over the candidates
+  /// in this host's data centre, or all of them when none is there.
+  absl::Duration MeanWait;
+  /// Requests that the candidates reported as waiting.
+  int Waiting = 0;
+};
+
 /// Weights of the replica selection.
 struct ChoiceSettings {
   PlaceId OwnPlace;
@@ -318,6 +329,7 @@
   bool hasCapacity(const ChoiceQuery &Query) const;
   /// Mean of requests per slot over the candidates; 1 when there is none.
   double utilization(const ChoiceQuery &Query) const;
+  ServiceRoom room(const ChoiceQuery &Query) const;
 
   void onRequestStarted(const Choice &Chosen, const ChoiceQuery &Query);
   /// The first byte arrived \p Latency after the request was sent.
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -128,6 +128,8 @@
   Self->Timer.schedulePeriodic(TickInterval, [Self] {
     bool RefusesNew =
         Self->Timer.now() - Self->LeavingSince > Self->Settings.RefuseNewDelay;
+    if (RefusesNew)
+      Self->Relayer->retryWaiting();
     // An answer that its caller has not read completely is still sent.
     if (RefusesNew && Self->Relayer->activeRequests() == 0 &&
         Self->Relayer->busyTunnels() == 0 &&
@@ -149,6 +151,9 @@
   Gauges.push_back(
       {"berylramp_requests_active",
        static_cast<double>(this->Shared->Relayer->activeRequests())});
+  Gauges.push_back(
+      {"berylramp_requests_waiting",
+       static_cast<double>(this->Shared->Relayer->waitingRequests())});
   Gauges.push_back({"berylramp_tunnels_open",
                     static_cast<double>(this->Shared->Relayer->openTunnels())});
   Gauges.push_back({"berylramp_paths_lost",
--- a/src/edge/edge_reports.cpp
+++ b/src/edge/edge_reports.cpp
@@ -34,6 +34,9 @@
     for (const NamedLimit &Report : Reports)
       this->Host.onLimitReport(Report);
   }
+  void operator()(const ShareReport &Report) const {
+    this->Host.Relayer->mergeShares(Report.Service, Report.Shares);
+  }
 };
 
 void EdgeDaemon::State::onReport(const GossipReport &Report) {
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -21,6 +21,8 @@
 /// answers that are being received, may take.
 constexpr double MaxAnswerFraction = 1.0 / 64;
 constexpr double MaxBufferedFraction = 1.0 / 4;
+/// Fraction of the host's memory that waiting requests may take.
+constexpr double MaxWaitingFraction = 1.0 / 16;
 
 /// Interval of the reads of replica entries as a fraction of the drain timeout.
 /// The rest covers the transfer to the other hosts and one failed read.
@@ -59,6 +61,8 @@
   Result.StreamIdleTimeout = this->Settings.StreamIdleTimeout;
   auto Memory = static_cast<double>(this->Config.MemoryBytes);
   Result.MaxAnswerBytes = static_cast<size_t>(Memory * MaxAnswerFraction);
+  Result.Dispatch.MaxWaitingBytes =
+      static_cast<size_t>(Memory * MaxWaitingFraction);
   Result.MaxBufferedBytes = static_cast<size_t>(Memory * MaxBufferedFraction);
   return Result;
 }
@@ -208,6 +212,9 @@
   this->Link->OnReport = [this](const GossipReport &Report) {
     this->onReport(Report);
   };
+  this->Link->SharesToReport = [this] {
+    return this->Relayer->workspaceShares();
+  };
   this->createQuarantine();
   this->connectLimits();
   for (const Endpoint &Seed : this->Config.Seeds)
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -57,6 +57,11 @@
     if (!Limits.empty())
       this->sendTo(Ip, encodeReport(Limits));
   }
+  // The addresses are in random order.
+  if (!Addresses.empty())
+    for (const auto &[Service, Shares] : this->SharesToReport())
+      this->sendTo(Addresses.front(),
+                   encodeReport(ShareReport{Service, Shares}));
   this->Counters.count(Counter::PeerExchanges);
 }
 
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -34,6 +34,11 @@
   std::function<std::vector<NamedLimit>()> LimitsToReport = [] {
     return std::vector<NamedLimit>();
   };
+  /// Returns the shares of workspaces to report with this host's state, by hash
+  /// of the service.
+  std::function<std::vector<std::pair<uint64_t, WorkspaceShares>>()>
+      SharesToReport =
+          [] { return std::vector<std::pair<uint64_t, WorkspaceShares>>(); };
   /// Called for each report that a peer sent.
   std::function<void(const GossipReport &)> OnReport;
   /// Requests records from a peer. False when another request is in progress or
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "dispatch_controller.h"
 #include "path_controller.h"
 #include "upstream_connection.h"
 #include <map>
@@ -19,7 +20,9 @@
       : Loop(Loop), Timer(Timer), Counters(Counters), Registry(Registry),
         Settings(std::move(Settings)), Hooks(std::move(Hooks)),
         Pool(this->Settings.MaxIdleTime),
-        Paths(std::make_shared<PathController>(Loop, Timer, Registry)) {
+        Paths(std::make_shared<PathController>(Loop, Timer, Registry)),
+        Dispatch(std::make_unique<DispatchController>(
+            Loop, Timer, this->Settings.Dispatch)) {
     this->Paths->ChoosePeer = this->Hooks.ChoosePeer;
     this->Paths->OnLost = [this](bool Hangs) { this->onPathLost(Hangs); };
   }
@@ -44,6 +47,7 @@
   ExchangeHooks Hooks;
   UpstreamPool Pool;
   std::shared_ptr<PathController> Paths;
+  std::unique_ptr<DispatchController> Dispatch;
   std::map<ServiceId, RetryBudget> Budgets;
   /// By service and model.
   std::map<std::pair<ServiceId, ModelId>, PrefillRateEstimator> PrefillRates;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -65,6 +65,21 @@
 
 size_t Exchange::activeRequests() const { return this->Shared->Active.size(); }
 
+size_t Exchange::waitingRequests() const {
+  return this->Shared->Dispatch->waiting();
+}
+
+void Exchange::retryWaiting() { this->Shared->Dispatch->retryAll(); }
+
+std::vector<std::pair<uint64_t, WorkspaceShares>> Exchange::workspaceShares() {
+  return this->Shared->Dispatch->shares();
+}
+
+void Exchange::mergeShares(uint64_t ServiceHash,
+                           const WorkspaceShares &Shares) {
+  this->Shared->Dispatch->mergeShares(ServiceHash, Shares);
+}
+
 void Exchange::abortAll() {
   auto Relays = this->Shared->Active;
   for (const std::shared_ptr<Relay> &ActiveRelay : Relays)
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -230,12 +230,8 @@
                       "no replica of the service is available");
     return;
   }
-  bool Overloaded = this->Core.Registry.utilization(this->choiceQuery()) >
-                    this->Core.Settings.MaxUtilization;
-  if (this->AttemptsStarted == 0 && Overloaded) {
-    this->failRequest(RefusalKind::Overloaded, "the replicas' queues are full");
+  if (this->AttemptsStarted == 0 && !this->mayDispatch(Chosen, Query))
     return;
-  }
   bool RetryAllowed = this->AttemptsSent == 0 || this->RetryBudgetAcquired ||
                       this->Core.budget(this->Service)
                           .tryAcquire(RepeatReason::Failure, this->now());
--- a/src/exchange/relay.h
+++ b/src/exchange/relay.h
@@ -29,7 +29,9 @@
 /// event of the answer.
 inline constexpr absl::Duration ProofTime = absl::Milliseconds(500);
 
-class Relay : public AttemptOwner, public std::enable_shared_from_this<Relay> {
+class Relay : public AttemptOwner,
+              public WaitingRequest,
+              public std::enable_shared_from_this<Relay> {
 public:
   Relay(std::shared_ptr<void> CoreOwner, RelayCore &Core, CallerRequest Request,
         ResponderPtr CallerResponder);
@@ -42,6 +44,7 @@
   /// that connections over the path are silent.
   void onPathLost(bool Hangs);
 
+  void onDispatchRetry() override;
   void onAttemptConnected(Attempt &Source) override;
   void onAttemptHead(Attempt &Source, const HttpHead &Head) override;
   void onAttemptBody(Attempt &Source, const std::string &Chunk) override;
@@ -55,6 +58,16 @@
   void resolveRequest();
   void startNextAttempt();
   void sendAttempt(const Choice &Chosen, const ChoiceQuery &Query);
+  /// Whether the first attempt may be sent now. Otherwise the request waits or
+  /// was refused.
+  bool mayDispatch(const Choice &Chosen, const ChoiceQuery &Query);
+  DispatchQuery dispatchQuery(const Choice &Chosen, const ServiceRoom &Room,
+                              DispatchController::Service &State) const;
+  void waitForRoom(const DispatchQuery &Inquiry, DispatchController &Waiters);
+  void stopWaiting();
+  void logDispatch(const DispatchQuery &Inquiry,
+                   const DispatchDecision &Decision,
+                   const DispatchController::Service &State) const;
   /// Logs an attempt at \p Target if it names a limit.
   void logLimitedAttempt(const Replica &Target) const;
   PrefillRateEstimator &prefillRate();
@@ -150,6 +163,10 @@
   absl::Duration FirstEventDelay;
   absl::Duration MaxEventGap;
   bool RetryBudgetAcquired = false;
+  /// Set while the request waits for room.
+  WaiterId Waiting = 0;
+  /// When the request was sent if it waited before.
+  Instant DispatchedAt;
   bool Finished = false;
 };
 
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -35,6 +35,7 @@
     Load.At = Now;
     this->Core.Registry.onLoadReport(*Source.TargetReplica, Load);
     this->LastLoad = Load;
+    this->Core.Dispatch->onRoom();
   }
   const std::string *Id = findHeader(Head.Headers, Names.RequestId);
   if (Id != nullptr && *Id != this->RequestId) {
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -12,6 +12,7 @@
 #include "absl/strings/str_format.h"
 #include "berylramp/json.h"
 #include <algorithm>
+#include <functional>
 
 namespace berylramp {
 
@@ -78,8 +79,10 @@
 
 void Relay::onCallerLeft() {
   // A caller that leaves late has waited for the replica in vain.
-  bool Late = !this->StreamStarted && this->now() - this->Request.ArrivedAt >
-                                          this->MatchedRoute->ResponseTarget;
+  Instant Start =
+      std::max(this->Request.ArrivedAt, this->DispatchedAt, std::less<>());
+  bool Late = !this->StreamStarted &&
+              this->now() - Start > this->MatchedRoute->ResponseTarget;
   if (Late && this->Current != nullptr)
     this->observeMissing(*this->Current);
   this->endAttempt(Outcome::Neutral);
@@ -99,7 +102,9 @@
     return;
   this->Finished = true;
   this->DeadlineTimer.cancel();
+  this->stopWaiting();
   this->endAttempt(Outcome::Neutral);
+  this->Core.Dispatch->onRoom();
   absl::Duration Elapsed = this->now() - this->Request.ArrivedAt;
   this->Core.Counters.observe(Latency::WholeRequest, Elapsed);
   Json::Value Line(Json::objectValue);
--- a/src/gossip/report_codec.cpp
+++ b/src/gossip/report_codec.cpp
@@ -13,11 +13,20 @@
 
 namespace {
 
-enum class ReportKind { Work = 101, Leaving, Full, InputCrash, Input, Limits };
+enum class ReportKind {
+  Work = 101,
+  Leaving,
+  Full,
+  InputCrash,
+  Input,
+  Limits,
+  Shares
+};
 
 /// More segments of a prompt are not reported.
 constexpr size_t MaxReportedSegments = 32;
 constexpr uint32_t LimitFields = 5;
+constexpr uint32_t ShareFields = 3;
 /// States that a replica names no limit any more.
 constexpr double NoLimit = -1;
 
@@ -74,6 +83,19 @@
       this->Writer.pack(Report.Rejections.value_or(NoLimit));
     }
   }
+  void operator()(const ShareReport &Report) const {
+    size_t Count = std::min(Report.Shares.size(), MaxReportedShares);
+    this->begin(ReportKind::Shares, 2);
+    this->Writer.pack(Report.Service);
+    this->Writer.pack_array(static_cast<uint32_t>(Count));
+    for (size_t Index = 0; Index < Count; ++Index) {
+      const WorkspaceShare &Share = Report.Shares[Index];
+      this->Writer.pack_array(ShareFields);
+      this->Writer.pack(Share.Workspace);
+      this->Writer.pack(static_cast<float>(Share.Recent));
+      this->Writer.pack(static_cast<float>(Share.Usual));
+    }
+  }
 };
 
 const msgpack::object_array &arrayOf(const msgpack::object &Value) {
@@ -110,6 +132,27 @@
   return Reports;
 }
 
+/// Throws if \p Value is not a share.
+double unpackShare(const msgpack::object &Value) {
+  auto Share = Value.as<double>();
+  if (!(Share >= 0 && Share <= 1))
+    throw msgpack::type_error();
+  return Share;
+}
+
+ShareReport unpackShares(const msgpack::object *Fields) {
+  ShareReport Report;
+  Report.Service = Fields[0].as<uint64_t>();
+  const msgpack::object_array &Entries = arrayOf(Fields[1]);
+  for (uint32_t Index = 0; Index < Entries.size && Index < MaxReportedShares;
+       ++Index) {
+    const msgpack::object *Share = arrayFields(Entries.ptr[Index], ShareFields);
+    Report.Shares.push_back({Share[0].as<uint64_t>(), unpackShare(Share[1]),
+                             unpackShare(Share[2])});
+  }
+  return Report;
+}
+
 std::optional<GossipReport> unpackReport(const msgpack::object &Value) {
   const msgpack::object_array &Entries = arrayOf(Value);
   if (Entries.size == 0)
@@ -135,6 +178,9 @@
   case ReportKind::Limits:
     CheckFields(1);
     return unpackLimits(Fields[0]);
+  case ReportKind::Shares:
+    CheckFields(2);
+    return unpackShares(Fields);
   }
   return std::nullopt;
 }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -51,11 +51,14 @@
     "ratings_received",
     "holds_tripped",
     "replica_ejections",
-    "bytes_across"};
+    "bytes_across",
+    "requests_delayed",
+    "refused_beyond_deadline",
+    "refused_for_utilization"};
 
 constexpr std::array<const char *, LatencyCount> LatencyNames = {
     "first_token", "between_tokens", "whole_request", "decision",
-    "log_append",  "bill_safe",      "config_lag"};
+    "log_append",  "bill_safe",      "config_lag",    "dispatch_wait"};
 
 constexpr std::array<double, 3> Quantiles = {0.5, 0.95, 0.99};
 
