--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -14,6 +14,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "berylramp/cascade.h"
+#include "berylramp/dispatch.h"
 #include "berylramp/memory_account.h"
 #include "berylramp/observe.h"
 #include "berylramp/paths.h"
@@ -244,6 +245,7 @@
   /// This host's share of the retries to one service.
   RetryShares Retries{0.7, 0.1, 3, absl::Seconds(10)};
   CascadeSettings Cascade;
+  DispatchSettings Dispatch;
 };
 
 /// Progress of an attempt that shows the quality of a version.
@@ -339,6 +341,15 @@
   const MemoryAccount &memoryAccount() const;
   /// Metrics of the choice of engines.
   std::vector<Gauge> engineGauges() const;
+  /// Number of requests that wait for room.
+  size_t waitingRequests() const;
+  /// Decides on all waiting requests; to be called when this host starts to
+  /// reject new requests.
+  void retryWaiting();
+  /// The shares of workspaces that this host knows, by hash of the service.
+  std::vector<std::pair<uint64_t, WorkspaceShares>> workspaceShares();
+  /// Applies the shares that another host reported.
+  void mergeShares(uint64_t ServiceHash, const WorkspaceShares &Shares);
   /// Aborts all requests in progress; streams are cut between two events.
   void abortAll();
   /// Closes connections that have exceeded the maximum idle time.
--- a/include/berylramp/observe.h
+++ b/include/berylramp/observe.h
@@ -75,10 +75,13 @@
   PaidLinkBytes,
   SlowReadersEnded,
   BodiesRefused,
-  LoadReportsRejected
+  LoadReportsRejected,
+  RequestsDelayed,
+  RefusedBeyondDeadline,
+  RefusedForUtilization
 };
 inline constexpr int CounterCount =
-    static_cast<int>(Counter::LoadReportsRejected) + 1;
+    static_cast<int>(Counter::RefusedForUtilization) + 1;
 
 /// Latency histograms, in seconds.
 enum class Latency {
@@ -88,9 +91,11 @@
   Decision,
   LogAppend,
   BillSafe,
-  ConfigLag
+  ConfigLag,
+  /// Time for which a request waited at this host for room.
+  DispatchWait
 };
-inline constexpr int LatencyCount = static_cast<int>(Latency::ConfigLag) + 1;
+inline constexpr int LatencyCount = static_cast<int>(Latency::DispatchWait) + 1;
 
 /// A value sampled when the metrics are read.
 struct Gauge {
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -23,6 +23,8 @@
 
 /// Fraction of the host's memory that one complete answer may take.
 constexpr double MaxAnswerFraction = 1.0 / 64;
+/// Fraction of the host's memory that waiting requests may take.
+constexpr double MaxWaitingFraction = 1.0 / 16;
 
 /// Interval of the reads of replica entries as a fraction of the drain timeout.
 /// The rest covers the transfer to the other hosts and one failed read.
@@ -62,6 +64,8 @@
   auto Memory = static_cast<double>(this->Config.MemoryBytes);
   Result.MaxAnswerBytes = static_cast<size_t>(Memory * MaxAnswerFraction);
   Result.Memory = memoryBounds(this->Config.MemoryBytes);
+  Result.Dispatch.MaxWaitingBytes =
+      static_cast<size_t>(Memory * MaxWaitingFraction);
   return Result;
 }
 
@@ -220,6 +224,9 @@
   this->Link->OnReport = [this](const GossipReport &Report) {
     this->onReport(Report);
   };
+  this->Link->SharesToReport = [this] {
+    return this->Relayer->workspaceShares();
+  };
   this->createQuarantine();
   this->connectLimits();
   for (const Endpoint &Seed : this->Config.Seeds)
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "dispatch_controller.h"
 #include "engine_stats.h"
 #include "held_memory.h"
 #include "path_controller.h"
@@ -24,7 +25,9 @@
         Pool(this->Settings.MaxIdleTime),
         Memory(std::make_shared<HeldMemory>(Loop, Timer, Counters,
                                             this->Settings.Memory)),
-        Paths(std::make_shared<PathController>(Loop, Timer, Registry)) {
+        Paths(std::make_shared<PathController>(Loop, Timer, Registry)),
+        Dispatch(std::make_unique<DispatchController>(
+            Loop, Timer, this->Settings.Dispatch)) {
     // Checks of paths send no request.
     this->Paths->ChoosePeer = [this](const Replica &Target,
                                      const std::vector<Endpoint> &Tried) {
@@ -54,6 +57,7 @@
   UpstreamPool Pool;
   HeldMemoryPtr Memory;
   std::shared_ptr<PathController> Paths;
+  std::unique_ptr<DispatchController> Dispatch;
   std::map<ServiceId, RetryBudget> Budgets;
   /// By service and model.
   std::map<std::pair<ServiceId, ModelId>, EnginePace> Paces;
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -34,6 +34,7 @@
     Load.At = Now;
     this->Core.Registry.onLoadReport(*Source.TargetReplica, Load);
     this->LastLoad = Load;
+    this->Core.Dispatch->onRoom();
   } else if (Text != nullptr) {
     this->noteUnusableLoad(*Source.TargetReplica, *Text);
   }
