--- a/review/standin/harness.cpp
+++ b/review/standin/harness.cpp
@@ -24,12 +24,15 @@
 
 namespace {
 
-constexpr int FrontendPort = 18227;
-constexpr int ReadyPort = 18220;
-constexpr int ControlPort = 18229;
-constexpr int DirectoryPort = 18224;
-constexpr int FirstFreePort = 17340;
-constexpr int LastFreePort = 17355;
+/// Ports of a machine, behind the first port that is free on this machine.
+constexpr int FrontendPort = 0;
+constexpr int ReadyPort = 1;
+constexpr int ControlPort = 2;
+constexpr int DirectoryPort = 3;
+constexpr int FirstFreePort = 4;
+constexpr int LastFreePort = 19;
+constexpr int FirstTriedPort = 18200;
+constexpr int LastTriedPort = 28200;
 constexpr double HeartbeatS = 1.2;
 constexpr double IdleS = 60;
 
@@ -43,6 +46,15 @@
   return Result;
 }
 
+bool canBind(const Address &At, int Type) {
+  int Socket = socket(AF_INET, Type | SOCK_CLOEXEC, 0);
+  sockaddr_in Local = socketAddress(At);
+  bool Bound =
+      bind(Socket, reinterpret_cast<sockaddr *>(&Local), sizeof(Local)) == 0;
+  close(Socket);
+  return Bound;
+}
+
 std::string parameter(const std::string &Target, const std::string &Name) {
   size_t Start = Target.find('?');
   while (Start != std::string::npos) {
@@ -515,8 +527,25 @@
     }
 }
 
+void Fleet::pickPorts(const std::string &Ip) {
+  for (int First = FirstTriedPort; First < LastTriedPort;
+       First += LastFreePort + 1) {
+    bool IsFree = true;
+    for (int Port = 0; Port <= LastFreePort; ++Port)
+      IsFree = IsFree && canBind({Ip, First + Port}, SOCK_STREAM) &&
+               canBind({Ip, First + Port}, SOCK_DGRAM);
+    if (IsFree) {
+      this->FirstPort = First;
+      return;
+    }
+  }
+  std::_Exit(CannotRun);
+}
+
 void Fleet::add(const std::string &Zone, const std::string &Region,
                 const std::string &Ip) {
+  if (this->FirstPort == 0)
+    this->pickPorts(Ip);
   Machine Added;
   Added.Name = "edge-" + Zone + "-" + std::to_string(this->All.size() + 1);
   Added.Zone = Zone;
@@ -527,11 +556,11 @@
 }
 
 Address Fleet::frontend(const Machine &Target) const {
-  return {Target.Ip, FrontendPort};
+  return {Target.Ip, this->FirstPort + FrontendPort};
 }
 
 Address Fleet::ready(const Machine &Target) const {
-  return {Target.Ip, ReadyPort};
+  return {Target.Ip, this->FirstPort + ReadyPort};
 }
 
 void Fleet::start(Machine &Target) {
@@ -548,8 +577,10 @@
   for (const Machine &Other : this->All)
     if (Named.size() < 3 && Named.emplace(Other.Zone, true).second)
       Seeds << (Seeds.tellp() > 0 ? "," : "")
-            << quoted(Address{Other.Ip, ControlPort}.text());
-  auto At = [&](int Port) { return quoted(Address{Target.Ip, Port}.text()); };
+            << quoted(Address{Other.Ip, this->FirstPort + ControlPort}.text());
+  auto At = [&](int Port) {
+    return quoted(Address{Target.Ip, this->FirstPort + Port}.text());
+  };
   std::ofstream File(Target.SettingsFile);
   File << "{\"nodeName\":" << quoted(Target.Name)
        << R"(,"role":"edge","machineClass":"edge",)"
@@ -560,7 +591,8 @@
        << ",\"ready\":" << At(ReadyPort)
        << ",\"controlPlane\":" << At(ControlPort)
        << ",\"directory\":" << At(DirectoryPort) << "},\"portRange\":["
-       << FirstFreePort << "," << LastFreePort << "],\"seeds\":[" << Seeds.str()
+       << this->FirstPort + FirstFreePort << ","
+       << this->FirstPort + LastFreePort << "],\"seeds\":[" << Seeds.str()
        << R"(],"bootstrap":true,"inTolerance":false,"limits":{"cpuQuota":0.25,)"
        << R"("cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0,)"
        << R"("diskMb":0},"dataDir":null,"discovery":"platform",)"
--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -180,6 +180,8 @@
   void add(const std::string &Zone, const std::string &Region,
            const std::string &Ip);
   std::vector<Machine> &machines() { return this->All; }
+  /// Called from the main thread: the process ends with the thread that
+  /// started it.
   void start(Machine &Target);
   /// Sends a signal to a process that this fleet started.
   void signal(Machine &Target, int Number);
@@ -192,10 +194,12 @@
   bool awaitReady(double TimeoutS);
 
 private:
+  void pickPorts(const std::string &Ip);
   Recorder &Log;
   Store &Registry;
   std::string Folder;
   std::vector<Machine> All;
+  int FirstPort = 0;
 };
 
 /// Sends one request on a new connection and reads its answer.
