--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -203,21 +203,4 @@
 
 } // namespace
 
-int main(int Argc, char **Argv) {
-  if (Argc != 3)
-    return CannotRun;
-  std::signal(SIGPIPE, SIG_IGN);
-  const char *Setting = std::getenv("TROUBLE");
-  bool Trouble = Setting == nullptr || std::string(Setting) != "0";
-  Recorder Log(Argv[1]);
-  // The stand-ins live until the process ends: their threads use them.
-  std::string Net = "127." + std::to_string(networkNumber());
-  auto *Registry = new Store(Net + ".9.1", 3);
-  auto *Machines = new Fleet(Log, *Registry, Argv[2]);
-  int Result = runCase(Log, *Machines, *Registry, Net, Trouble);
-  Machines->endAll();
-  Log.line(Result == RuleBroken ? "result: rule broken"
-           : Result == RuleHeld ? "result: rule held"
-                                : "result: could not run");
-  std::_Exit(Result);
-}
+int main(int Argc, char **Argv) { review::runScript(Argc, Argv, 3, runCase); }
--- a/review/standin/harness.cpp
+++ b/review/standin/harness.cpp
@@ -699,4 +699,23 @@
 
 int networkNumber() { return 16 + static_cast<int>(getpid() % 200); }
 
+void runScript(int Argc, char **Argv, size_t Fronts, const Script &Run) {
+  if (Argc != 3)
+    std::_Exit(CannotRun);
+  std::signal(SIGPIPE, SIG_IGN);
+  const char *Setting = std::getenv("TROUBLE");
+  bool Trouble = Setting == nullptr || std::string(Setting) != "0";
+  Recorder Log(Argv[1]);
+  // The stand-ins live until the process ends: their threads use them.
+  std::string Network = "127." + std::to_string(networkNumber());
+  auto *Registry = new Store(Network + ".9.1", Fronts);
+  auto *Machines = new Fleet(Log, *Registry, Argv[2]);
+  int Result = Run(Log, *Machines, *Registry, Network, Trouble);
+  Machines->endAll();
+  Log.line(Result == RuleBroken ? "result: rule broken"
+           : Result == RuleHeld ? "result: rule held"
+                                : "result: could not run");
+  std::_Exit(Result);
+}
+
 } // namespace review
--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -210,6 +210,16 @@
 /// The second number of this run's loopback addresses, 127.N.
 int networkNumber();
 
+/// A script: returns RuleHeld, RuleBroken or CannotRun.
+using Script =
+    std::function<int(Recorder &Log, Fleet &Machines, Store &Registry,
+                      const std::string &Network, bool Trouble)>;
+
+/// Runs a script with the record's path and a temporary folder as arguments,
+/// and ends the process. TROUBLE=0 leaves out the disruption.
+[[noreturn]] void runScript(int Argc, char **Argv, size_t Fronts,
+                            const Script &Run);
+
 } // namespace review
 
 #endif // BERYLRAMP_REVIEW_HARNESS_H
