End answers over another host only with their replica

Cause: such an answer ends with its connection, and a tunnel passed bytes on as they were. Its own orderly end, or the kernel's for a killed process, looked like the replica's.

Change: the tunnel's answer has a chunked body; its last chunk states that the replica closed in order. Any other end is a broken path. Hosts that do not ask for chunks get plain bytes on a connection that is reset at any other end, a kill included; over hosts that send none, no answer without a length is complete. A host that stops waits for tunnels in use, and the others close idle ones.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -354,13 +354,15 @@
   void abortAll();
   /// Closes connections that have exceeded the maximum idle time.
   void closeIdleConnections();
+  /// Closes idle tunnels over the hosts that \p IsLeaving names.
+  void closeTunnelsOver(const std::function<bool(const Endpoint &)> &IsLeaving);
   /// Tries connections over lost paths to replicas; to be called periodically.
   void probePaths();
   /// Whether this host lost its path to a group of replicas.
   bool hasLostPaths() const;
   /// Opens connections to replicas for other hosts.
   absl::Status serveTunnels(const Endpoint &ListenAddress);
-  /// Tunnels of other hosts with an answer in progress.
+  /// Tunnels that other hosts may still need.
   size_t busyTunnels() const;
   size_t openTunnels() const;
   void closeTunnels();
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -38,6 +38,7 @@
   this->Quarantine->tick();
   this->logWarmthChanges();
   this->divideLimits();
+  this->leaveTunnels();
   this->detectHostPause();
 }
 
--- a/src/edge/edge_paths.cpp
+++ b/src/edge/edge_paths.cpp
@@ -1,12 +1,15 @@
 //===- edge_paths.cpp - Paths to replicas over other hosts ----------------===//
 //
 // Hosts announce that they lost a path, so that others do not ask them for
-// tunnels. One that was not heard of yet answers that it has none either.
+// tunnels. One that was not heard of yet answers that it has none either. A
+// host that leaves waits until the others have closed their tunnels over it.
 //
 //===----------------------------------------------------------------------===//
 
 #include "edge_state.h"
 
+#include "absl/algorithm/container.h"
+
 namespace berylramp {
 
 std::optional<Endpoint>
@@ -34,6 +37,18 @@
                   this->Config.GossipPort};
 }
 
+void EdgeDaemon::State::leaveTunnels() {
+  std::vector<uint32_t> Leaving;
+  for (const Peer *Candidate : this->Peers.live(this->Timer.now()))
+    if (Candidate->State.Leaving)
+      Leaving.push_back(Candidate->State.Ip);
+  if (Leaving.empty())
+    return;
+  this->Relayer->closeTunnelsOver([&](const Endpoint &Peer) {
+    return absl::c_linear_search(Leaving, parseIp(Peer.Ip));
+  });
+}
+
 void EdgeDaemon::State::announcePaths() {
   bool Lost = this->Relayer->hasLostPaths();
   if (Lost == this->Peers.self().LostPaths)
--- a/src/exchange/channel.cpp
+++ b/src/exchange/channel.cpp
@@ -174,7 +174,7 @@
     }
   }
   if (this->Open && this->CloseWhenFlushed && this->Queue.empty())
-    this->close();
+    this->closeFinished();
 }
 
 bool Channel::hasUnread() const {
@@ -221,7 +221,24 @@
 void Channel::closeAfterSending() {
   this->CloseWhenFlushed = true;
   if (this->Open && this->Queue.empty())
-    this->close();
+    this->closeFinished();
+}
+
+void Channel::closeFinished() {
+  if (this->ResetUnlessFinished)
+    this->setResetOnClose(false);
+  this->close();
+}
+
+void Channel::resetUnlessFinished() {
+  this->ResetUnlessFinished = true;
+  this->setResetOnClose(true);
+}
+
+void Channel::setResetOnClose(bool Enabled) {
+  ErrorCode Ignored;
+  this->Socket.set_option(boost::asio::socket_base::linger(Enabled, 0),
+                          Ignored);
 }
 
 void Channel::closeAfterMessage() {
@@ -257,9 +274,8 @@
 }
 
 void Channel::reset() {
-  ErrorCode Ignored;
   if (this->Socket.is_open())
-    this->Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+    this->setResetOnClose(true);
   this->close();
 }
 
--- a/src/exchange/channel.h
+++ b/src/exchange/channel.h
@@ -83,6 +83,9 @@
   void resumeReading();
   /// Closes once all queued bytes are sent.
   void closeAfterSending();
+  /// Turns any end of the open connection into a reset, the end of this process
+  /// included, unless closeAfterSending() sent all bytes.
+  void resetUnlessFinished();
   /// Drops the messages that are not begun and closes once the begun one is
   /// sent; resets the connection instead if much of that is unsent.
   void closeAfterMessage();
@@ -100,6 +103,8 @@
   bool hasSent() const { return this->Sent; }
 
 private:
+  void setResetOnClose(bool Enabled);
+  void closeFinished();
   void configureSocket();
   void waitReadable();
   void readSome();
@@ -120,6 +125,7 @@
   bool Reading = false;
   bool Writing = false;
   bool CloseWhenFlushed = false;
+  bool ResetUnlessFinished = false;
 };
 
 } // namespace berylramp
--- a/src/exchange/connection_check.cpp
+++ b/src/exchange/connection_check.cpp
@@ -42,8 +42,9 @@
   }
 
   void onBytes(absl::string_view Bytes) override {
-    this->Buffer.append(Bytes.data(), Bytes.size());
-    if (std::optional<TunnelAnswer> Answer = takeTunnelAnswer(this->Buffer))
+    if (!this->Reader.feed(Bytes))
+      this->report(TunnelAnswer::Unavailable);
+    else if (std::optional<TunnelAnswer> Answer = this->Reader.answer())
       this->report(*Answer);
   }
 
@@ -66,7 +67,7 @@
   TunnelCallback Done;
   std::shared_ptr<Channel> Transport;
   CancellableTimer Timer;
-  std::string Buffer;
+  TunnelReader Reader;
 };
 
 } // namespace
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -121,4 +121,9 @@
   this->Shared->Pool.closeExpired(this->Shared->Timer.now());
 }
 
+void Exchange::closeTunnelsOver(
+    const std::function<bool(const Endpoint &)> &IsLeaving) {
+  this->Shared->Pool.closeTunnelsOver(IsLeaving);
+}
+
 } // namespace berylramp
--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -12,7 +12,6 @@
 #include "absl/strings/str_cat.h"
 #include "cancellable_timer.h"
 #include "channel.h"
-#include "http_parse.h"
 
 namespace berylramp {
 
@@ -28,9 +27,14 @@
 /// Timeouts for the request and for opening the connection to the replica.
 constexpr absl::Duration RequestTimeout = absl::Seconds(2);
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(400);
-/// A tunnel over which an answer came to a stop for longer is idle.
+/// A tunnel of a host of an earlier version is idle when an answer came to a
+/// stop for longer.
 constexpr absl::Duration BusyTime = absl::Milliseconds(500);
 
+constexpr absl::string_view FramingHeader = "Tunnel-Framing";
+constexpr absl::string_view ChunkedFraming = "chunked";
+constexpr absl::string_view LastChunk = "0\r\n\r\n";
+
 int statusOf(TunnelAnswer Answer) {
   switch (Answer) {
   case TunnelAnswer::Connected:
@@ -88,6 +92,7 @@
     this->Host->setListener(this->HostSide);
     this->startTimeout(RequestTimeout, [](Tunnel &Self) { Self.end(); });
     this->Host->startAccepted();
+    this->Host->resetUnlessFinished();
   }
 
   void end() {
@@ -98,17 +103,18 @@
     this->Remove(Self);
   }
 
-  /// The other host must not mistake a broken answer for a complete one.
   void endSlow() {
-    this->Host->reset();
     this->Replica->reset();
     this->end();
   }
 
   bool isBusy() const {
-    return this->IsEstablished &&
-           (this->IsAwaitingAnswer ||
-            this->Timer.now() - this->LastByteAt < BusyTime);
+    if (!this->IsEstablished)
+      return false;
+    // Only the other host knows whether an answer is complete. It closes its
+    // idle tunnels over a host that leaves, unless it is of an earlier version.
+    return this->IsChunked || this->IsAwaitingAnswer ||
+           this->Timer.now() - this->LastByteAt < BusyTime;
   }
 
   void onHostBytes(absl::string_view Bytes) {
@@ -136,6 +142,8 @@
       this->answer(TunnelAnswer::Unavailable);
       return;
     }
+    const std::string *Framing = findHeader(Request.Headers, FramingHeader);
+    this->IsChunked = Framing != nullptr && *Framing == ChunkedFraming;
     this->Target = *Found;
     this->StartedAt = this->Timer.now();
     this->startTimeout(ConnectTimeout, [](Tunnel &Self) {
@@ -177,7 +185,10 @@
     Channel &From = ToReplica ? *this->Host : *this->Replica;
     if (!To.isOpen())
       return;
-    To.send(std::string(Bytes));
+    if (this->IsChunked && !ToReplica)
+      To.send(absl::StrCat(absl::Hex(Bytes.size()), "\r\n", Bytes, "\r\n"));
+    else
+      To.send(std::string(Bytes));
     if (To.unsentBytes() > MaxUnsentBytes)
       From.pauseReading();
   }
@@ -194,7 +205,8 @@
     }
     auto Self = this->shared_from_this();
     this->IsAwaitingAnswer = false;
-    // The other host must not mistake a broken answer for a complete one.
+    if (Orderly && this->IsChunked)
+      this->Host->send(std::string(LastChunk));
     if (Orderly)
       this->Host->closeAfterSending();
     else
@@ -220,10 +232,12 @@
     if (this->IsAnswered || !this->Host->isOpen())
       return;
     this->IsAnswered = true;
-    std::string Message =
-        absl::StrCat("HTTP/1.1 ", statusOf(Answer), " Tunnel\r\n\r\n");
-    this->Host->send(std::move(Message));
-    if (Answer == TunnelAnswer::Connected)
+    bool Connected = Answer == TunnelAnswer::Connected;
+    this->Host->send(absl::StrCat(
+        "HTTP/1.1 ", statusOf(Answer), " Tunnel\r\n",
+        Connected && this->IsChunked ? "Transfer-Encoding: chunked\r\n" : "",
+        "\r\n"));
+    if (Connected)
       return;
     this->Replica->close();
     this->Host->closeAfterSending();
@@ -249,6 +263,8 @@
   bool IsRefused = false;
   bool IsAnswered = false;
   bool IsEstablished = false;
+  /// The other host asked for chunks.
+  bool IsChunked = false;
   /// The last bytes went to the replica.
   bool IsAwaitingAnswer = false;
 };
@@ -277,23 +293,25 @@
 
 std::string tunnelRequest(uint64_t Replica) {
   return absl::StrCat("CONNECT ", absl::Hex(Replica),
-                      " HTTP/1.1\r\nHost: replica\r\n\r\n");
+                      " HTTP/1.1\r\nHost: replica\r\n", FramingHeader, ": ",
+                      ChunkedFraming, "\r\n\r\n");
+}
+
+TunnelReader::TunnelReader() : Parser(/*WithoutBody=*/false) {}
+
+bool TunnelReader::feed(absl::string_view Bytes) {
+  this->Buffer.append(Bytes.data(), Bytes.size());
+  return this->Parser.feed(this->Buffer) == ParseFault::None;
 }
 
-std::optional<TunnelAnswer> takeTunnelAnswer(std::string &Buffer) {
-  AnswerParser Parser(/*WithoutBody=*/true);
-  constexpr absl::string_view End = "\r\n\r\n";
-  size_t HeadEnd = Buffer.find(End.data());
-  if (HeadEnd == std::string::npos)
+std::optional<TunnelAnswer> TunnelReader::answer() const {
+  if (!this->Parser.headDone())
     return std::nullopt;
-  std::string Head = Buffer.substr(0, HeadEnd + End.size());
-  Buffer.erase(0, Head.size());
-  if (Parser.feed(Head) != ParseFault::None)
-    return TunnelAnswer::Unavailable;
+  int Status = this->Parser.head().Status;
   for (TunnelAnswer Answer :
        {TunnelAnswer::Connected, TunnelAnswer::Refused,
         TunnelAnswer::ServiceRefused, TunnelAnswer::TimedOut})
-    if (Parser.head().Status == statusOf(Answer))
+    if (Status == statusOf(Answer))
       return Answer;
   return TunnelAnswer::Unavailable;
 }
--- a/src/exchange/tunnel.h
+++ b/src/exchange/tunnel.h
@@ -5,6 +5,11 @@
 // host that received them; the other host knows only bytes. A tunnel always
 // ends at a replica, so that tunnels form no loops.
 //
+// A replica's answer may end with its connection. The answer to the request for
+// a tunnel therefore has a chunked body that holds the replica's bytes: its
+// last chunk states that the replica closed the connection in order. Hosts of
+// earlier versions neither ask for chunks nor send them.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef BERYLRAMP_EXCHANGE_TUNNEL_H
@@ -13,6 +18,7 @@
 #include "absl/status/status.h"
 #include "berylramp/exchange.h"
 #include "held_memory.h"
+#include "http_parse.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
 #include <set>
@@ -38,9 +44,26 @@
 inline constexpr absl::Duration MaxTunnelDelay = absl::Milliseconds(900);
 
 std::string tunnelRequest(uint64_t Replica);
-/// Removes a complete answer from the front of \p Buffer; nothing while it is
-/// incomplete.
-std::optional<TunnelAnswer> takeTunnelAnswer(std::string &Buffer);
+
+/// Reads the bytes that a tunnel server sends to another host.
+class TunnelReader {
+public:
+  TunnelReader();
+
+  /// Parses \p Bytes; returns false if they are not valid.
+  bool feed(absl::string_view Bytes);
+  /// Nothing while the answer to the request for the tunnel is incomplete.
+  std::optional<TunnelAnswer> answer() const;
+  /// Returns the bytes of the replica received since the last call.
+  std::string takeBytes() { return this->Parser.takeBody(); }
+  /// Whether the replica closed its connection in order. Always false if the
+  /// other host does not state it.
+  bool replicaClosed() const { return this->Parser.done(); }
+
+private:
+  AnswerParser Parser;
+  std::string Buffer;
+};
 
 using TunnelCallback = std::function<void(TunnelAnswer)>;
 
@@ -68,8 +91,7 @@
   absl::Status listen(const Endpoint &ListenAddress);
   void close();
   size_t tunnels() const;
-  /// Tunnels with a request whose answer is not complete, as far as the traffic
-  /// shows.
+  /// Tunnels that the other hosts may still need.
   size_t busyTunnels() const;
 
 private:
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -7,8 +7,6 @@
 
 #include "upstream_connection.h"
 
-#include "tunnel.h"
-
 #include "absl/strings/numbers.h"
 #include <algorithm>
 
@@ -105,7 +103,7 @@
 }
 
 void UpstreamConnection::readTunnelAnswer() {
-  std::optional<TunnelAnswer> Answer = takeTunnelAnswer(this->Buffer);
+  std::optional<TunnelAnswer> Answer = this->Tunnel->answer();
   if (!Answer)
     return;
   if (*Answer == TunnelAnswer::Connected) {
@@ -129,11 +127,27 @@
     this->Transport->close();
     return;
   }
-  this->Buffer.append(Bytes.data(), Bytes.size());
+  if (!this->isTunnel()) {
+    this->Buffer.append(Bytes.data(), Bytes.size());
+    this->readAnswer();
+    return;
+  }
+  auto Self = this->shared_from_this();
+  if (!this->Tunnel->feed(Bytes)) {
+    this->fail(ConnectionFault::Malformed);
+    return;
+  }
   if (!this->Connected) {
     this->readTunnelAnswer();
     return;
   }
+  this->Buffer += this->Tunnel->takeBytes();
+  this->readAnswer();
+  if (this->Busy && this->Tunnel->replicaClosed())
+    this->onReplicaClosed();
+}
+
+void UpstreamConnection::readAnswer() {
   if (this->Parser->feed(this->Buffer) != ParseFault::None) {
     this->fail(ConnectionFault::Malformed);
     return;
@@ -166,8 +180,9 @@
 void UpstreamConnection::finish() {
   auto Self = this->shared_from_this();
   this->Busy = false;
+  bool ReplicaClosed = this->isTunnel() && this->Tunnel->replicaClosed();
   this->Reusable = this->Parser->keepAlive() && this->Buffer.empty() &&
-                   this->Transport->unsentBytes() == 0;
+                   this->Transport->unsentBytes() == 0 && !ReplicaClosed;
   if (!this->Reusable)
     this->Transport->close();
   auto Receiver = this->Listener.lock();
@@ -180,17 +195,22 @@
   this->Reusable = false;
   if (!this->Busy)
     return;
-  if (!this->Connected) {
+  if (!this->Connected)
     this->fail(ConnectionFault::PeerUnavailable);
+  else if (Orderly && !this->isTunnel())
+    this->onReplicaClosed();
+  else
+    this->fail(ConnectionFault::Reset);
+}
+
+void UpstreamConnection::onReplicaClosed() {
+  if (!this->Parser->finishAtEof()) {
+    this->fail(ConnectionFault::Cut);
     return;
   }
-  if (Orderly && this->Parser->finishAtEof()) {
-    this->deliver();
-    if (this->Busy)
-      this->finish();
-    return;
-  }
-  this->fail(Orderly ? ConnectionFault::Cut : ConnectionFault::Reset);
+  this->deliver();
+  if (this->Busy)
+    this->finish();
 }
 
 void UpstreamConnection::fail(ConnectionFault Fault) {
@@ -240,15 +260,29 @@
 }
 
 void UpstreamPool::closeExpired(Instant Now) {
+  this->closeIdle([&](const UpstreamConnection &Candidate) {
+    return !this->isFresh(Candidate, Now);
+  });
+}
+
+void UpstreamPool::closeTunnelsOver(
+    const std::function<bool(const Endpoint &)> &IsLeaving) {
+  this->closeIdle([&](const UpstreamConnection &Candidate) {
+    return Candidate.isTunnel() && IsLeaving(Candidate.remote());
+  });
+}
+
+void UpstreamPool::closeIdle(
+    const std::function<bool(const UpstreamConnection &)> &Matches) {
   for (auto Group = this->Idle.begin(); Group != this->Idle.end();) {
     auto &Connections = Group->second;
     Connections.erase(
         std::remove_if(Connections.begin(), Connections.end(),
                        [&](const UpstreamConnectionPtr &Candidate) {
-                         bool Expired = !this->isFresh(*Candidate, Now);
-                         if (Expired)
+                         bool Closes = Matches(*Candidate);
+                         if (Closes)
                            Candidate->cancel();
-                         return Expired;
+                         return Closes;
                        }),
         Connections.end());
     Group = Connections.empty() ? this->Idle.erase(Group) : std::next(Group);
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -10,8 +10,7 @@
 #define BERYLRAMP_EXCHANGE_UPSTREAM_CONNECTION_H
 
 #include "channel.h"
-#include "http_parse.h"
-#include <optional>
+#include "tunnel.h"
 #include <unordered_map>
 
 namespace berylramp {
@@ -24,9 +23,9 @@
   /// The host over which the replica should be reached could not help; nothing
   /// was sent.
   PeerUnavailable,
-  /// Closed in order before the end of the answer.
+  /// The replica closed its connection in order before the end of the answer.
   Cut,
-  /// Reset, or given up by the kernel.
+  /// Reset, given up by the kernel, or broken by the host in between.
   Reset,
   /// The received bytes are not a valid HTTP answer.
   Malformed,
@@ -64,7 +63,7 @@
   UpstreamConnection(boost::asio::io_context &Loop, Endpoint Peer,
                      uint64_t Replica)
       : Transport(std::make_shared<Channel>(Loop)), Remote(std::move(Peer)),
-        TunnelTo(Replica) {}
+        TunnelTo(Replica), Tunnel(std::make_unique<TunnelReader>()) {}
 
   /// Counts the bytes of requests of \p Owner that the replica has not read.
   void countUnsent(const HeldMemoryPtr &Memory, uint64_t Owner,
@@ -98,6 +97,8 @@
 private:
   void onEstablished();
   void readTunnelAnswer();
+  void readAnswer();
+  void onReplicaClosed();
   void deliver();
   void finish();
   void fail(ConnectionFault Fault);
@@ -105,6 +106,8 @@
   std::shared_ptr<Channel> Transport;
   Endpoint Remote;
   std::optional<uint64_t> TunnelTo;
+  /// Set for tunnels.
+  std::unique_ptr<TunnelReader> Tunnel;
   /// The request, until a tunnel is established.
   std::string Unsent;
   std::unique_ptr<HeldBytes> HeldUnsent;
@@ -137,8 +140,12 @@
     this->Idle.erase(ReplicaId.text());
   }
   void closeExpired(Instant Now);
+  /// Closes idle tunnels over the hosts that \p IsLeaving names.
+  void closeTunnelsOver(const std::function<bool(const Endpoint &)> &IsLeaving);
 
 private:
+  void
+  closeIdle(const std::function<bool(const UpstreamConnection &)> &Matches);
   bool isFresh(const UpstreamConnection &Connection, Instant Now) const;
 
   absl::Duration MaxIdleTime;
--- a/test/edge_partition_test.cpp
+++ b/test/edge_partition_test.cpp
@@ -176,6 +176,28 @@
   CHECK(Unserved == 0);
 }
 
+// Callers took the first events of a stream for the whole one (review/1).
+TEST_CASE_METHOD(PartitionFixture, "A stream without a length is not complete "
+                                   "when the host of its tunnel ends") {
+  constexpr int EventCount = 60;
+  for (const auto &Engine : this->Engines) {
+    Engine->Behavior = standin::ReplicaBehavior::Unframed;
+    Engine->EventCount = EventCount;
+    Engine->EventInterval = absl::Milliseconds(20);
+  }
+  this->cut(0, Partition::Reset);
+  this->sendFor(absl::Milliseconds(1200), {0});
+  this->endHost(1);
+  this->awaitAnswers();
+  for (const Sent &Request : this->Requests)
+    if (absl::StrContains(Request.Caller->received(), "event-stream") &&
+        Request.isServed()) {
+      INFO(Request.Caller->received());
+      CHECK(absl::StrContains(Request.Caller->received(),
+                              absl::StrCat("id: ", EventCount, "\n")));
+    }
+}
+
 TEST_CASE_METHOD(PartitionFixture,
                  "A tunnel server opens no connection to unknown addresses") {
   RawCaller Stranger(
