Follow tables at once when the region's reader does not answer

Cause: after a reader's failure only the replica entries were read from the store at once. Tables followed a second later, because gossip would tell of newer ones; ticks and the next dead reader added another second.

Change: such a host follows all topics at once until a reader's answer is usable. A peer that announced newer records and does not answer counts the same.

--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -34,9 +34,6 @@
 /// Time for which this host reads the store itself after a reader failed. The
 /// next reader detects the failure within two of its requests.
 constexpr absl::Duration DirectReadTime = absl::Milliseconds(1200);
-/// A host that reads the replica entries itself for this long reads the other
-/// topics too. Until then, peers announce newer tables by gossip.
-constexpr absl::Duration TableFollowDelay = absl::Seconds(1);
 
 } // namespace
 
@@ -126,18 +123,18 @@
   Line["reader"] = formatIp(this->regionReader());
   logEvent(LogLevel::Info, "record_source", Line);
   if (Direct) {
-    this->DirectReadSince = this->Timer.now();
     this->Replicas->resume();
+    if (this->Replicas->reachable())
+      this->resumeTableFollowers();
     return;
   }
   for (const auto &Follower : {this->Operators, this->States, this->Replicas})
     Follower->pause();
 }
 
+// Not delayed until gossip of newer tables may have come: all other hosts may
+// have failed at once.
 void EdgeDaemon::State::resumeTableFollowers() {
-  bool IsReader = this->Peers.self().Store == StoreRole::Reader;
-  if (!IsReader && this->Timer.now() - this->DirectReadSince < TableFollowDelay)
-    return;
   this->Operators->resume();
   this->States->resume();
 }
@@ -184,11 +181,11 @@
   bool NeedsStart = !this->ready() && !(Now < this->SettledAt);
   bool Direct = Reader == this->Peers.self().Ip || NeedsStart ||
                 this->Leaving || Now < this->DirectReadUntil;
-  if (Direct) {
+  if (Direct)
     this->setRecordSource(true);
-    if (this->Replicas->reachable())
-      this->resumeTableFollowers();
-  }
+  // Until a reader's answer is usable, this host depends on the store.
+  if (!this->Replicas->paused() && this->Replicas->reachable())
+    this->resumeTableFollowers();
   this->limitProbes();
   // The reader itself may be the one that has older records. It is asked every
   // other time, because this host depends on its replica entries.
@@ -213,13 +210,20 @@
   if (Candidates.empty())
     return;
   auto Weak = this->weak_from_this();
-  this->Link->fetch(Candidates[randomUint64() % Candidates.size()],
-                    this->peerQuery(),
-                    [Weak](const absl::StatusOr<PeerRecords> &Records) {
-                      auto Self = Weak.lock();
-                      if (Self && Records.ok())
-                        Self->applyPeerRecords(*Records);
-                    });
+  this->Link->fetch(
+      Candidates[randomUint64() % Candidates.size()], this->peerQuery(),
+      [Weak](const absl::StatusOr<PeerRecords> &Records) {
+        auto Self = Weak.lock();
+        if (Self && Records.ok())
+          Self->applyPeerRecords(*Records);
+        else if (Self && Self->Replicas->paused() && !Self->isSettling())
+          Self->readStoreForNow();
+      });
+}
+
+void EdgeDaemon::State::readStoreForNow() {
+  this->DirectReadUntil = this->Timer.now() + DirectReadTime;
+  this->setRecordSource(true);
 }
 
 void EdgeDaemon::State::fetchFromReader(uint32_t Reader) {
@@ -241,8 +245,7 @@
     Answer = ReaderAnswer::Stale;
   recordAnswer(this->Readers, Reader, Answer, this->Timer.now());
   if (Answer != ReaderAnswer::Usable) {
-    this->DirectReadUntil = this->Timer.now() + DirectReadTime;
-    this->setRecordSource(true);
+    this->readStoreForNow();
     return;
   }
   this->applyPeerRecords(*Records);
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -271,7 +271,6 @@
 }
 
 void EdgeDaemon::State::startFollowers() {
-  this->DirectReadSince = this->Timer.now();
   bool IsSeed = std::any_of(
       this->Config.Seeds.begin(), this->Config.Seeds.end(),
       [this](const Endpoint &Seed) { return Seed.Ip == this->Config.Ip; });
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -92,6 +92,8 @@
   /// Age from which on the replica entries of a reader are too old.
   absl::Duration maxReaderAge() const;
   void setRecordSource(bool Direct);
+  /// Follows all topics of the store while another host did not answer.
+  void readStoreForNow();
   void resumeTableFollowers();
   bool isStoreAvailable() const;
   void detectHostPause();
@@ -203,7 +205,6 @@
   /// The last records were requested from a peer that announced newer ones.
   bool AsksNewer = false;
   Instant DirectReadUntil;
-  Instant DirectReadSince;
   /// When the replica entries received from a peer were read from the store.
   Instant PeerEntriesAsOf{-absl::InfiniteDuration()};
   ReaderHealth Readers;
