Take no refusal without an id on a kept connection as proof

Operators of a like system saw 'not run, try again' for requests that had run, because a replica wrote an earlier refusal once more on a kept connection.

Cause here: a refusal without an id counted as this request's. Only requests that may be repeated use kept connections, so their callers got an untrue 503. Beside it, a replica's own 503 without the header that states that nothing ran was passed on to callers of orders, who may send them again.

Change: an answer without an id is foreign unless it is the first on its connection; an order whose refusal is not proven is answered 502.

--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -1,8 +1,10 @@
 //===- relay_answer.cpp - Handling of replicas' answers -------------------===//
 //
 // A successful answer is forwarded only if it has the id of this request, a
-// replica's signature and no content encoding. A broken stream resumes at
-// another replica after its last complete event.
+// replica's signature and no content encoding. A replica may write an answer to
+// an earlier request of the connection once more: a refusal without an id
+// proves something only on a new connection. A broken stream resumes at another
+// replica after its last complete event.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,6 +18,16 @@
 
 namespace berylramp {
 
+namespace {
+
+/// Whether callers take an answer with \p Status as a promise that the request
+/// did not run.
+bool promisesNotExecuted(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+} // namespace
+
 void Relay::onAttemptHead(Attempt &Source, const HttpHead &Head) {
   const HeaderNames &Names = this->Core.Settings.Names;
   Instant Now = this->now();
@@ -39,7 +51,9 @@
     this->noteUnusableLoad(*Source.TargetReplica, *Text);
   }
   const std::string *Id = findHeader(Head.Headers, Names.RequestId);
-  if (Id != nullptr && *Id != this->RequestId) {
+  bool IsForeign =
+      Id != nullptr ? *Id != this->RequestId : Source.Connection->isReused();
+  if (IsForeign) {
     this->onAttemptFailed(Source, RetryReason::CrossedAnswer,
                           Outcome::ConnectionFailed, true);
     return;
@@ -236,10 +250,16 @@
 }
 
 void Relay::forwardAnswer(Attempt &Source) {
+  bool AtMostOnce = this->MatchedRoute->Repeats == Repeatability::AtMostOnce;
+  if (AtMostOnce && promisesNotExecuted(Source.Head.Status)) {
+    // The replica did not state that the request did not run.
+    this->onAttemptFailed(Source, RetryReason::UpstreamRefused, Outcome::Failed,
+                          true);
+    return;
+  }
   bool Good = Source.Head.Status < 500;
   this->observe(Source, Good ? AnswerEvent::FirstByte : AnswerEvent::Failure);
-  if (!Good && this->MatchedRoute->Repeats != Repeatability::AtMostOnce &&
-      this->mayRetry()) {
+  if (!Good && !AtMostOnce && this->mayRetry()) {
     this->onAttemptFailed(Source, RetryReason::UpstreamRefused, Outcome::Failed,
                           true);
     return;
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -60,6 +60,7 @@
   this->Busy = true;
   this->Reusable = false;
   this->HeadDelivered = false;
+  this->StartedRequests += 1;
   if (this->isTunnel() && !this->Connected) {
     this->Unsent = std::move(Bytes);
     if (this->HeldUnsent != nullptr)
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -75,6 +75,8 @@
   void cancel();
   bool hasUnread() const { return this->Transport->hasUnread(); }
   bool isConnected() const { return this->Connected; }
+  /// Whether the connection carried a request before the current one.
+  bool isReused() const { return this->StartedRequests > 1; }
   bool isTunnel() const { return this->TunnelTo.has_value(); }
   /// The replica, or for a tunnel the host over which it leads.
   const Endpoint &remote() const { return this->Remote; }
@@ -119,6 +121,7 @@
   bool Busy = false;
   bool Reusable = false;
   bool HeadDelivered = false;
+  int64_t StartedRequests = 0;
   int KeepAliveSeconds = 0;
 };
 
--- a/test/edge_notices_test.cpp
+++ b/test/edge_notices_test.cpp
@@ -120,6 +120,28 @@
   CHECK(this->runCount("crossed") == 1);
 }
 
+// A replica wrote an earlier refusal once more on a kept connection, and
+// callers were told that their requests had not run. Requests that may run only
+// once use connections of their own.
+TEST_CASE_METHOD(NoticesFixture, "A refusal that is repeated on a kept "
+                                 "connection does not prove that a request did "
+                                 "not run") {
+  // Both replicas have a kept connection by then.
+  for (int Index = 0; Index < 8; ++Index)
+    CHECK(this->call("/safe/a", absl::StrCat("before-", Index)).status() ==
+          200);
+  this->setBehavior(ReplicaBehavior::RepeatsRefusals);
+  CHECK(this->call("/safe/a", "repeated").status() == 502);
+  CHECK(this->runCount("repeated") > 0);
+}
+
+TEST_CASE_METHOD(NoticesFixture,
+                 "An order that ran is not answered as one that did not") {
+  this->setBehavior(ReplicaBehavior::RefusesAfterRun);
+  CHECK(this->call("/once/a", "refused").status() == 502);
+  CHECK(this->runCount("refused") == 1);
+}
+
 TEST_CASE("Unusable pauses are bounded") {
   CHECK(parsePause("1.5").Length == absl::Milliseconds(1500));
   CHECK(parsePause("1.5").Accepted);
