Take no error for the continuation of a stream

Operators of a like system saw the text of an error in the middle of streams, or streams that ended as complete, when a stream broke off and the next replica answered with an error. Here it happened with errors of status 200 or 204.

Cause: any successful answer on a streaming route counted as a stream, and events without an id pass the check of the sequence.

Change: only 200 with the type of an event stream, or none, goes on with a stream, and before its first event with an id it may hold comments alone. Anything else is a failed attempt.

--- a/src/exchange/attempt.h
+++ b/src/exchange/attempt.h
@@ -125,6 +125,8 @@
   bool IsStreaming = false;
   /// Events of a stream that were forwarded.
   int EventCount = 0;
+  /// An event with an id was received.
+  bool IsInSequence = false;
   Instant FirstEventAt;
   bool EventsObserved = false;
   /// The replica has written long enough to show that it survives the prompt.
--- a/src/exchange/events.h
+++ b/src/exchange/events.h
@@ -13,6 +13,8 @@
 struct StreamEvent {
   /// -1 if the event has no numeric id.
   int64_t Id = -1;
+  /// Has no field.
+  bool IsComment = false;
   std::string Bytes;
 };
 
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -10,6 +10,7 @@
 
 #include "relay.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -26,6 +27,15 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// Whether a successful answer goes on with a stream that callers have already
+/// received in part. Some replicas answer with an error and status 200.
+bool continuesStream(const HttpHead &Head) {
+  const std::string *Type = findHeader(Head.Headers, "Content-Type");
+  return Head.Status == 200 &&
+         (Type == nullptr ||
+          absl::StartsWithIgnoreCase(*Type, "text/event-stream"));
+}
+
 } // namespace
 
 void Relay::onAttemptHead(Attempt &Source, const HttpHead &Head) {
@@ -77,6 +87,11 @@
                           Outcome::ConnectionFailed, true);
     return;
   }
+  if (Success && this->StreamStarted && !continuesStream(Head)) {
+    this->onAttemptFailed(Source, RetryReason::UpstreamRefused, Outcome::Failed,
+                          true);
+    return;
+  }
   if (Success && this->shouldEscalate(Head)) {
     this->Core.Counters.count(Counter::Escalations);
     this->observe(Source, AnswerEvent::FirstByte);
@@ -181,9 +196,15 @@
 void Relay::forwardEvents(Attempt &Source, const std::string &Chunk) {
   auto Self = this->shared_from_this();
   auto AttemptGuard = Source.shared_from_this();
+  bool IsResumed = this->StreamStarted && Source.EventCount == 0;
   std::string EventBytes;
   for (StreamEvent &Event : Source.Splitter.feed(Chunk)) {
     EventSequence::Verdict Verdict = this->Sequence.check(Event.Id);
+    Source.IsInSequence = Source.IsInSequence || Event.Id >= 0;
+    // Events without an id that another replica sends first, such as errors,
+    // are no continuation.
+    if (IsResumed && !Source.IsInSequence && !Event.IsComment)
+      Verdict = EventSequence::Verdict::Gap;
     if (Verdict == EventSequence::Verdict::Gap) {
       this->onAttemptFailed(Source, RetryReason::CutMidStream,
                             Outcome::ConnectionFailed, true);
--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -169,6 +169,38 @@
   }
 }
 
+// Callers found the text of an error in the middle of their stream, or the end
+// of the stream, when the replica that was to go on with it answered with an
+// error.
+TEST_CASE_METHOD(ServingFixture,
+                 "An error of the next replica is no part of a stream") {
+  auto Error = GENERATE(
+      ReplicaBehavior::SendsErrorText, ReplicaBehavior::SendsErrorEvent,
+      ReplicaBehavior::SendsNoContent, ReplicaBehavior::Fails,
+      ReplicaBehavior::RefusesAfterRun, ReplicaBehavior::RefusesAsFull,
+      ReplicaBehavior::Misdirects);
+  CAPTURE(static_cast<int>(Error));
+  for (const auto &Engine : this->Engines) {
+    Engine->EventCount = 40;
+    Engine->EventsBeforeCut = 5;
+    Engine->EventInterval = absl::Milliseconds(20);
+  }
+  RawCaller Caller(this->Loop, this->callerEndpoint());
+  Caller.send(EdgeFixture::makeRequest("/stream/a", "r1", "", "x", "key-1"));
+  REQUIRE(this->runUntil(
+      [&] { return absl::StrContains(Caller.received(), "id: 2\n"); }));
+  bool FirstRan = !this->Engines[0]->ExecutedRequests.empty();
+  this->Engines[FirstRan ? 1 : 0]->Behavior = Error;
+  REQUIRE(this->runUntil(
+      [&] { return Caller.hasCompleteAnswer() || Caller.isClosed(); }));
+  INFO(Caller.received());
+  CHECK_FALSE(absl::StrContains(Caller.received(), "out of memory"));
+  CHECK_FALSE(absl::StrContains(Caller.received(), "oops"));
+  CHECK_FALSE(absl::StrContains(Caller.received().substr(1), "HTTP/1.1"));
+  if (Caller.hasCompleteAnswer())
+    CHECK(absl::StrContains(Caller.received(), "id: 40\n"));
+}
+
 TEST_CASE_METHOD(ServingFixture, "An answer without a length is relayed") {
   this->setBehavior(ReplicaBehavior::Unframed);
   RawCaller Caller = this->call("/once/a", "r1");
