Bound what a replica's answer can reserve and state

Cause: Beast's string body reserves the announced length; load reports were bounded by the range of int alone.

Evidence: 'An answer may announce any length' (exception before) and the checks of parseLoad (4 failed before) pass 5 of 5 times.

--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -37,6 +37,9 @@
 /// A replica that needs a longer pause is replaced.
 constexpr absl::Duration MaxPause = absl::Minutes(10);
 
+/// Higher counts in a load report are not usable.
+constexpr int MaxReportedCount = 1'000'000;
+
 /// The figure of a replica on which work takes as long as usual.
 constexpr double UsualWorkPercent = 100;
 
@@ -45,6 +48,11 @@
   return absl::SimpleAtoi(Text, &Value) ? Value : 0;
 }
 
+bool parseCount(absl::string_view Text, int &Count) {
+  return absl::SimpleAtoi(Text, &Count) && Count >= 0 &&
+         Count <= MaxReportedCount;
+}
+
 bool mayHaveRequestBody(const CallerRequest &Request) {
   return !Request.Body.empty() || Request.Method == "POST" ||
          Request.Method == "PUT" || Request.Method == "PATCH";
@@ -163,10 +171,9 @@
 bool parseLoad(const std::string &Text, ReportedLoad &Load) {
   std::vector<absl::string_view> Values = absl::StrSplit(Text, ',');
   ReportedLoad Stated;
-  if (Values.size() < 3 || !absl::SimpleAtoi(Values[0], &Stated.Running) ||
-      !absl::SimpleAtoi(Values[1], &Stated.Waiting) ||
-      !absl::SimpleAtoi(Values[2], &Stated.Slots) || Stated.Running < 0 ||
-      Stated.Waiting < 0 || Stated.Slots < 0)
+  if (Values.size() < 3 || !parseCount(Values[0], Stated.Running) ||
+      !parseCount(Values[1], Stated.Waiting) ||
+      !parseCount(Values[2], Stated.Slots))
     return false;
   // Later values belong to newer versions of the replica's software.
   if (Values.size() > 3) {
--- a/src/exchange/http_parse.cpp
+++ b/src/exchange/http_parse.cpp
@@ -153,8 +153,42 @@
   return Result;
 }
 
+namespace {
+
+/// Holds the bytes of a body that were received. Unlike Beast's string body it
+/// reserves nothing for the length that the sender announces.
+struct ReceivedBody {
+  using value_type = std::string;
+
+  class reader {
+  public:
+    template <bool IsRequest, typename Fields>
+    reader(http::header<IsRequest, Fields> &, value_type &Body) : Body(Body) {}
+
+    void init(const boost::optional<uint64_t> &,
+              boost::system::error_code &Error) {
+      Error = {};
+    }
+    template <typename Buffers>
+    size_t put(const Buffers &Received, boost::system::error_code &Error) {
+      Error = {};
+      size_t Before = this->Body.size();
+      for (auto Buffer : boost::beast::buffers_range_ref(Received))
+        this->Body.append(static_cast<const char *>(Buffer.data()),
+                          Buffer.size());
+      return this->Body.size() - Before;
+    }
+    void finish(boost::system::error_code &Error) { Error = {}; }
+
+  private:
+    value_type &Body;
+  };
+};
+
+} // namespace
+
 struct AnswerParser::Impl {
-  http::response_parser<http::string_body> Reader;
+  http::response_parser<ReceivedBody> Reader;
 };
 
 AnswerParser::AnswerParser(bool WithoutBody,
--- a/test/exchange_test.cpp
+++ b/test/exchange_test.cpp
@@ -120,6 +120,19 @@
   CHECK_FALSE(Chunked.finishAtEof());
 }
 
+// The announced length was reserved, and the exception left the request to its
+// deadline.
+TEST_CASE("An answer may announce any length") {
+  AnswerParser Parser(false);
+  std::string Bytes =
+      "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000000\r\n\r\nab";
+  CHECK(Parser.feed(Bytes) == ParseFault::None);
+  CHECK(Parser.headDone());
+  CHECK(Parser.takeBody() == "ab");
+  CHECK_FALSE(Parser.done());
+  CHECK_FALSE(Parser.finishAtEof());
+}
+
 TEST_CASE("An answer without a length ends with its connection") {
   AnswerParser Parser(false);
   std::string Bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
@@ -206,8 +219,10 @@
   CHECK(Load.WorkTime == 2.5);
   CHECK(parseLoad("4,1,8,50,x,7", Load));
   CHECK(Load.WorkTime == 0.5);
-  for (const char *Unusable : {"5,1,8,", "5,1,8,x", "5,1,8,-100", "5,1,8,0",
-                               "5,1,8,inf", "5,1,8,nan", "-5,1,8", "5,-1,8"})
+  for (const char *Unusable :
+       {"5,1,8,", "5,1,8,x", "5,1,8,-100", "5,1,8,0", "5,1,8,inf", "5,1,8,nan",
+        "-5,1,8", "5,-1,8", "2147483647,1,8", "5,2147483647,8",
+        "5,1,2147483647", "5,1,4294967297"})
     CHECK_FALSE(parseLoad(Unusable, Load));
   CHECK(Load.Running == 4);
   CHECK_FALSE(parseLoad("3,1", Load));
