Test that a replica for which another one answered is tried again

The review read that a 421 evicts a replica for good on hosts that do not read the store. No product change.

--- a/test/edge_notices_test.cpp
+++ b/test/edge_notices_test.cpp
@@ -1,7 +1,7 @@
 //===- edge_notices_test.cpp - Replicas that leave or ask for a pause -----===//
 
-#include "edge_fixture.h"
 #include "forwarding.h"
+#include "partition_fixture.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -142,6 +142,39 @@
   CHECK(this->runCount("refused") == 1);
 }
 
+TEST_CASE_METHOD(PartitionFixture,
+                 "A replica for which another one answered is tried again") {
+  const Endpoint &Standby = this->Hosts.back().Config.Callers;
+  auto StatusOf = [&](const std::string &Id) {
+    RawCaller Caller(this->Loop, Standby);
+    Caller.send(EdgeFixture::makeRequest("/once/a", Id, "", "x", "key-1"));
+    REQUIRE(this->runUntil([&] { return Caller.hasCompleteAnswer(); }));
+    return Caller.status();
+  };
+  // Heartbeats are not passed on between hosts.
+  this->putReplicas();
+  this->runFor(absl::Seconds(2));
+  REQUIRE(StatusOf("before") == 200);
+  for (const auto &Target : this->PlainReplicas)
+    Target->Behavior = ReplicaBehavior::Misdirects;
+  CHECK(StatusOf("misdirected") == 503);
+  for (const auto &Target : this->PlainReplicas)
+    Target->Behavior = ReplicaBehavior::Answers;
+  CHECK(this->runUntil([&] { return StatusOf("again") == 200; }));
+}
+
+TEST_CASE_METHOD(NoticesFixture, "A removed replica for which another one "
+                                 "answered is not tried again") {
+  this->setBehavior(ReplicaBehavior::Misdirects);
+  CHECK(this->call("/once/a", "misdirected").status() == 503);
+  for (const auto &Removed : this->PlainReplicas)
+    this->Store->put("keyed.servers", Removed->id(), std::nullopt);
+  this->setBehavior(ReplicaBehavior::Answers);
+  this->runFor(absl::Seconds(5));
+  CHECK(this->call("/once/a", "removed").status() == 503);
+  CHECK(this->runCount("removed") == 0);
+}
+
 TEST_CASE("Unusable pauses are bounded") {
   CHECK(parsePause("1.5").Length == absl::Milliseconds(1500));
   CHECK(parsePause("1.5").Accepted);
