--- a/test/edge_odd_entries_test.cpp
+++ b/test/edge_odd_entries_test.cpp
@@ -17,10 +17,10 @@
 /// An entry of a service without routes, in which \p Field has \p Value.
 std::string entryWith(const std::string &Field, const std::string &Value) {
   std::vector<std::pair<std::string, std::string>> Fields = {
-      {"service", "\"odd\""}, {"address", "\"127.0.0.9:9\""},
-      {"zone", "\"zone-a\""},   {"version", "\"v1\""},
-      {"slots", "8"},           {"state", "\"ready\""},
-      {"sequence", "1"},        {"born", "1"},
+      {"service", "\"odd\""},  {"address", "\"127.0.0.9:9\""},
+      {"zone", "\"zone-a\""},  {"version", "\"v1\""},
+      {"slots", "8"},          {"state", "\"ready\""},
+      {"sequence", "1"},       {"born", "1"},
       {"coldRemainingMs", "0"}};
   bool Known = false;
   std::string Text = "{";
