Take a broken answer of the host in between for its own

A host in between whose bytes are no HTTP had counted as one that may have passed the request on: nothing is sent before its answer. Bytes that break the chunks are a broken path, not the replica's fault. Names: closeTunnelsOverLeavingHosts().

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -38,7 +38,7 @@
   this->Quarantine->tick();
   this->logWarmthChanges();
   this->divideLimits();
-  this->leaveTunnels();
+  this->closeTunnelsOverLeavingHosts();
   this->detectHostPause();
 }
 
--- a/src/edge/edge_paths.cpp
+++ b/src/edge/edge_paths.cpp
@@ -37,7 +37,7 @@
                   this->Config.GossipPort};
 }
 
-void EdgeDaemon::State::leaveTunnels() {
+void EdgeDaemon::State::closeTunnelsOverLeavingHosts() {
   std::vector<uint32_t> Leaving;
   for (const Peer *Candidate : this->Peers.live(this->Timer.now()))
     if (Candidate->State.Leaving)
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -108,7 +108,7 @@
                                      const AllowedRegions &Regions) const;
   void announcePaths();
   /// Closes idle tunnels over hosts that leave.
-  void leaveTunnels();
+  void closeTunnelsOverLeavingHosts();
   /// Tells the other hosts of a limit, and takes this host's part of it.
   void shareLimit(const NamedLimit &News);
   void onLimitReport(const NamedLimit &Report);
--- a/src/exchange/http_parse.cpp
+++ b/src/exchange/http_parse.cpp
@@ -158,6 +158,7 @@
 /// Holds the bytes of a body that were received. Unlike Beast's string body it
 /// reserves nothing for the length that the sender announces.
 struct ReceivedBody {
+  // NOLINTBEGIN(readability-identifier-naming): the names that Beast requires.
   using value_type = std::string;
 
   class reader {
@@ -183,6 +184,7 @@
   private:
     value_type &Body;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 } // namespace
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -135,7 +135,8 @@
   }
   auto Self = this->shared_from_this();
   if (!this->Tunnel->feed(Bytes)) {
-    this->fail(ConnectionFault::Malformed);
+    this->fail(this->Connected ? ConnectionFault::Reset
+                               : ConnectionFault::PeerUnavailable);
     return;
   }
   if (!this->Connected) {
--- a/test/tunnel_test.cpp
+++ b/test/tunnel_test.cpp
@@ -188,6 +188,16 @@
   CHECK(this->Answer->Fault == ConnectionFault::Reset);
 }
 
+TEST_CASE_METHOD(TunnelFixture, "A host in between that answers no HTTP has "
+                                "sent no request") {
+  Server Odd(this->Loop);
+  this->request(Odd.address());
+  this->runUntil([&] { return !Odd.Received.empty(); });
+  Odd.send("no HTTP\r\n\r\n");
+  this->runUntil([&] { return this->hasResult(); });
+  CHECK(this->Answer->Fault == ConnectionFault::PeerUnavailable);
+}
+
 TEST_CASE_METHOD(TunnelFixture, "An answer without a length ends with its "
                                 "replica over another host") {
   this->beginAnswer();
