Keep the port of a proxy that refuses connections

Change: a second socket stays bound to the port and never listens. It also answers with a reset, as a closed port does.

--- a/test/support/proxy.cpp
+++ b/test/support/proxy.cpp
@@ -88,16 +88,23 @@
 };
 
 Proxy::Proxy(boost::asio::io_context &Loop, LoopTimer &Timer, Endpoint Server)
-    : Loop(Loop), Timer(Timer), Server(std::move(Server)), Acceptor(Loop) {}
+    : Loop(Loop), Timer(Timer), Server(std::move(Server)), Reservation(Loop),
+      Acceptor(Loop) {}
 
 void Proxy::listen() {
-  this->ListenAddress =
-      tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
+  this->reservePort();
   this->listenOn(boost::asio::socket_base::max_listen_connections);
-  this->ListenAddress = this->Acceptor.local_endpoint();
   this->accept();
 }
 
+void Proxy::reservePort() {
+  this->Reservation.open(tcp::v4());
+  this->Reservation.set_option(tcp::socket::reuse_address(true));
+  this->Reservation.bind(
+      tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  this->ListenAddress = this->Reservation.local_endpoint();
+}
+
 void Proxy::listenOn(int Backlog) {
   this->Acceptor = tcp::acceptor(this->Loop);
   this->Acceptor.open(tcp::v4());
--- a/test/support/proxy.h
+++ b/test/support/proxy.h
@@ -35,12 +35,15 @@
 private:
   struct Connection;
   void accept();
+  void reservePort();
   void listenOn(int Backlog);
 
   boost::asio::io_context &Loop;
   LoopTimer &Timer;
   Endpoint Server;
   boost::asio::ip::tcp::endpoint ListenAddress;
+  /// Bound and never listening, so that nobody else gets the port.
+  boost::asio::ip::tcp::socket Reservation;
   boost::asio::ip::tcp::acceptor Acceptor;
   /// Fills the accept queue while new connections hang.
   std::vector<boost::asio::ip::tcp::socket> Fillers;
