--- a/include/berylramp/json.h
+++ b/include/berylramp/json.h
@@ -29,6 +29,9 @@
 std::string textAt(const Json::Value &Object, const char *Key,
                    const std::string &Fallback = "");
 int64_t intAt(const Json::Value &Object, const char *Key, int64_t Fallback = 0);
+/// Like intAt, with the nearest value in range in place of one out of range.
+int boundedIntAt(const Json::Value &Object, const char *Key, int Fallback,
+                 int Min, int Max);
 double numberAt(const Json::Value &Object, const char *Key,
                 double Fallback = 0);
 bool boolAt(const Json::Value &Object, const char *Key, bool Fallback = false);
--- a/src/exchange/events.cpp
+++ b/src/exchange/events.cpp
@@ -26,14 +26,6 @@
   }
 }
 
-/// Whether all lines of the event are comments or empty.
-bool isComment(absl::string_view Event) {
-  for (absl::string_view Line : absl::StrSplit(Event, '\n'))
-    if (!Line.empty() && Line != "\r" && Line[0] != ':')
-      return false;
-  return true;
-}
-
 int64_t parseEventId(const std::string &Event) {
   size_t LineStart = 0;
   while (LineStart < Event.size()) {
@@ -51,6 +43,13 @@
 
 } // namespace
 
+bool isComment(absl::string_view Event) {
+  for (absl::string_view Line : absl::StrSplit(Event, '\n'))
+    if (!Line.empty() && Line != "\r" && Line[0] != ':')
+      return false;
+  return true;
+}
+
 std::vector<StreamEvent> EventSplitter::feed(const std::string &Chunk) {
   this->Pending += Chunk;
   std::vector<StreamEvent> Events;
@@ -59,7 +58,6 @@
     StreamEvent Event;
     Event.Bytes = this->Pending.substr(0, End);
     Event.Id = parseEventId(Event.Bytes);
-    Event.IsComment = isComment(Event.Bytes);
     this->Pending.erase(0, End);
     Events.push_back(std::move(Event));
   }
--- a/src/exchange/events.h
+++ b/src/exchange/events.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_EVENTS_H
 #define BERYLRAMP_EXCHANGE_EVENTS_H
 
+#include "absl/strings/string_view.h"
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,11 +14,12 @@
 struct StreamEvent {
   /// -1 if the event has no numeric id.
   int64_t Id = -1;
-  /// Has no field.
-  bool IsComment = false;
   std::string Bytes;
 };
 
+/// Whether \p Event has no field: all its lines are comments or empty.
+bool isComment(absl::string_view Event);
+
 /// Splits a byte stream into complete events.
 class EventSplitter {
 public:
--- a/src/exchange/relay_answer.cpp
+++ b/src/exchange/relay_answer.cpp
@@ -203,7 +203,7 @@
     Source.IsInSequence = Source.IsInSequence || Event.Id >= 0;
     // Events without an id that another replica sends first, such as errors,
     // are no continuation.
-    if (IsResumed && !Source.IsInSequence && !Event.IsComment)
+    if (IsResumed && !Source.IsInSequence && !isComment(Event.Bytes))
       Verdict = EventSequence::Verdict::Gap;
     if (Verdict == EventSequence::Verdict::Gap) {
       this->onAttemptFailed(Source, RetryReason::CutMidStream,
@@ -336,6 +336,8 @@
   Line["waited_ms"] = absl::ToInt64Milliseconds(this->now() - Source.SentAt);
   if (Source.Peer)
     Line["peer"] = Source.Peer->Ip;
+  if (Source.Fault)
+    Line["fault"] = connectionFaultName(*Source.Fault);
   if (!Sent)
     Line["connect"] = Source.TimedOut                            ? "timed_out"
                       : Source.Fault == ConnectionFault::Refused ? "refused"
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -37,6 +37,26 @@
 
 } // namespace
 
+const char *connectionFaultName(ConnectionFault Fault) {
+  switch (Fault) {
+  case ConnectionFault::Refused:
+    return "refused";
+  case ConnectionFault::NotConnected:
+    return "not_connected";
+  case ConnectionFault::PeerUnavailable:
+    return "peer_unavailable";
+  case ConnectionFault::Cut:
+    return "closed_by_replica";
+  case ConnectionFault::Reset:
+    return "broken_path";
+  case ConnectionFault::Malformed:
+    return "malformed";
+  case ConnectionFault::Abandoned:
+    return "abandoned";
+  }
+  return "";
+}
+
 void UpstreamConnection::countUnsent(const HeldMemoryPtr &Memory,
                                      uint64_t Owner,
                                      const std::string &RequestId) {
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -33,6 +33,9 @@
   Abandoned
 };
 
+/// The name of \p Fault in logs.
+const char *connectionFaultName(ConnectionFault Fault);
+
 /// Whether the request may have reached the replica.
 inline bool mayHaveArrived(ConnectionFault Fault) {
   return Fault == ConnectionFault::Cut || Fault == ConnectionFault::Reset ||
--- a/src/http/upstream_adapter.cpp
+++ b/src/http/upstream_adapter.cpp
@@ -123,11 +123,14 @@
                     VersionId(Text.substr(Slash + 1))};
 }
 
+/// An engine that reports more counts as one that reports this many.
+constexpr int MaxReportedCount = 1'000'000;
+
 EngineLoad loadFromJson(const Json::Value &Body) {
   EngineLoad Load;
-  Load.Running = static_cast<int>(intAt(Body, "running"));
-  Load.Waiting = static_cast<int>(intAt(Body, "waiting"));
-  Load.Slots = static_cast<int>(std::max<int64_t>(1, intAt(Body, "slots", 1)));
+  Load.Running = boundedIntAt(Body, "running", 0, 0, MaxReportedCount);
+  Load.Waiting = boundedIntAt(Body, "waiting", 0, 0, MaxReportedCount);
+  Load.Slots = boundedIntAt(Body, "slots", 1, 1, MaxReportedCount);
   Load.CacheUsed = Tokens(intAt(Body, "cache_used"));
   Load.CacheSize = Tokens(intAt(Body, "cache_size"));
   Load.TokensPerSecond = numberAt(Body, "tokens_per_second");
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -8,6 +8,7 @@
 
 #include "berylramp/json.h"
 
+#include <algorithm>
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
@@ -85,6 +86,12 @@
   return Member.isInt64() ? Member.asInt64() : Fallback;
 }
 
+int boundedIntAt(const Json::Value &Object, const char *Key, int Fallback,
+                 int Min, int Max) {
+  return static_cast<int>(
+      std::clamp<int64_t>(intAt(Object, Key, Fallback), Min, Max));
+}
+
 double numberAt(const Json::Value &Object, const char *Key, double Fallback) {
   const Json::Value &Member = memberAt(Object, Key);
   return Member.isNumeric() ? Member.asDouble() : Fallback;
--- a/test/tunnel_test.cpp
+++ b/test/tunnel_test.cpp
@@ -117,6 +117,12 @@
     this->runUntil([&] { return this->Answer->Body == PartOfBody; });
   }
 
+  void checkBroken() {
+    this->runUntil([&] { return this->hasResult(); });
+    CHECK_FALSE(this->Answer->Ended);
+    CHECK(this->Answer->Fault == ConnectionFault::Reset);
+  }
+
   boost::asio::io_context Loop;
   LoopTimer Timer;
   Server Replica;
@@ -169,9 +175,7 @@
                                 "the host that it goes over") {
   this->beginAnswer();
   this->Between->close();
-  this->runUntil([&] { return this->hasResult(); });
-  CHECK_FALSE(this->Answer->Ended);
-  CHECK(this->Answer->Fault == ConnectionFault::Reset);
+  this->checkBroken();
 }
 
 // The kernel closes the connections of a killed process in order (review/2).
@@ -183,9 +187,7 @@
   Killed.send("1d\r\n" + UnframedHead + PartOfBody + "\r\n");
   this->runUntil([&] { return this->Answer->Body == PartOfBody; });
   Killed.close();
-  this->runUntil([&] { return this->hasResult(); });
-  CHECK_FALSE(this->Answer->Ended);
-  CHECK(this->Answer->Fault == ConnectionFault::Reset);
+  this->checkBroken();
 }
 
 TEST_CASE_METHOD(TunnelFixture, "A host in between that answers no HTTP has "
@@ -258,8 +260,7 @@
   Earlier.send(UnframedHead + PartOfBody);
   this->runUntil([&] { return this->Answer->Body == PartOfBody; });
   Earlier.close();
-  this->runUntil([&] { return this->hasResult(); });
-  CHECK_FALSE(this->Answer->Ended);
+  this->checkBroken();
 }
 
 TEST_CASE_METHOD(TunnelFixture, "An answer with a length is complete over a "
--- a/test/upstream_adapter_test.cpp
+++ b/test/upstream_adapter_test.cpp
@@ -2,6 +2,7 @@
 
 #include "berylramp/http.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -35,6 +36,18 @@
     close(Connection);
   }
 
+  /// Accepts the next connection, sends \p Bytes and closes it.
+  void answerNextConnection(const std::string &Bytes) const {
+    int Connection = accept(this->Descriptor, nullptr, nullptr);
+    CHECK(send(Connection, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Bytes.size()));
+    shutdown(Connection, SHUT_WR);
+    std::array<char, 1024> Request{};
+    while (recv(Connection, Request.data(), Request.size(), 0) > 0) {
+    }
+    close(Connection);
+  }
+
   int Port = 0;
 
 private:
@@ -64,3 +77,22 @@
         UpstreamFault::Interrupted);
   Closer.join();
 }
+
+// The sum of two loads near 2^31 overflowed.
+TEST_CASE("The load that an engine reports is bounded") {
+  SilentServer Server;
+  std::string Body = R"({"running":2147483647,"waiting":4294967297,)"
+                     R"("slots":9223372036854775807})";
+  std::thread Answerer([&] {
+    Server.answerNextConnection(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+        std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  });
+  UpstreamPort Port = makeHttpUpstreams(std::make_shared<HttpClientPool>());
+  absl::StatusOr<EngineLoad> Load = Port.ReadLoad({"127.0.0.1", Server.Port});
+  Answerer.join();
+  REQUIRE(Load.ok());
+  CHECK(Load->Running == 1000000);
+  CHECK(Load->Waiting == 1000000);
+  CHECK(Load->Slots == 1000000);
+}
