Say in the report of berylramp-load what its figures count

Cause: somebody new could not tell the unit of the cost that scripts/demo prints, nor what an orphan is.

Change: the lines name the unit, the share of the largest version's cost and bills without an answer.

--- a/src/tools/load/report.cpp
+++ b/src/tools/load/report.cpp
@@ -139,7 +139,7 @@
   std::string Text = absl::StrFormat("requests %37d\n", Report.Requests);
   addCounts(Report.Outcomes, "by outcome", Text);
   addCounts(Report.Versions, "by version", Text);
-  absl::StrAppend(&Text, "good answers by kind\n");
+  absl::StrAppend(&Text, "good answers by kind, of the whole ones\n");
   for (const auto &[Name, Kind] : Report.Kinds)
     absl::StrAppend(&Text,
                     absl::StrFormat("  %-28s %8d of %d\n", Name,
@@ -156,17 +156,17 @@
                      ? static_cast<double>(Report.Cost.count()) /
                            static_cast<double>(Report.LargestCost.count())
                      : 0;
-  absl::StrAppend(&Text,
-                  absl::StrFormat("cost %d, always the largest version %d, "
-                                  "ratio %.3f\n",
-                                  Report.Cost.count(),
-                                  Report.LargestCost.count(), Ratio));
-  absl::StrAppend(&Text,
-                  absl::StrFormat("bills: missing %d, orphans %d, repeats %d\n",
-                                  Report.Bills.Missing.size(),
-                                  Report.Bills.Orphans.size(),
-                                  Report.Bills.Repeats));
-  absl::StrAppend(&Text, absl::StrFormat("late bills: %d\n", Report.LateBills));
+  absl::StrAppend(
+      &Text, absl::StrFormat("cost in millionths of the currency unit %d, "
+                             "with the largest version alone %d (%.0f%%)\n",
+                             Report.Cost.count(), Report.LargestCost.count(),
+                             100 * Ratio));
+  absl::StrAppend(
+      &Text, absl::StrFormat("bills %d: missing %d, without an answer %d, "
+                             "repeated %d, late %d\n",
+                             Report.BillsCounted, Report.Bills.Missing.size(),
+                             Report.Bills.Orphans.size(), Report.Bills.Repeats,
+                             Report.LateBills));
   absl::StrAppend(&Text, absl::StrFormat("orders run more than once: %d\n",
                                          Report.RepeatedExecutions));
   return Text;
