Test that a reader with old records makes no host late

A reader that the store no longer serves goes on answering; the host that finds its records old read the replica entries itself, the tables a second later.

--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -132,8 +132,8 @@
     Follower->pause();
 }
 
-// Not delayed until gossip of newer tables may have come: all other hosts may
-// have failed at once.
+// Does not wait for gossip of newer tables, because all other hosts may have
+// failed at once.
 void EdgeDaemon::State::resumeTableFollowers() {
   this->Operators->resume();
   this->States->resume();
--- a/src/edge/edge_records.cpp
+++ b/src/edge/edge_records.cpp
@@ -211,8 +211,10 @@
     uint32_t Ip = parseIp(*Record.Value);
     if (Ip == 0)
       this->logSkippedRecord(
-          Record.Key, absl::InvalidArgumentError(
-                          "the record of a host is not an IPv4 address"));
+          Record.Key,
+          absl::InvalidArgumentError(
+              "the record of a host is not an IPv4 address; the host "
+              "writes it again when it starts"));
     else
       this->Peers.addAddress(Ip, this->Timer.now());
   }
--- a/test/edge_reader_loss_test.cpp
+++ b/test/edge_reader_loss_test.cpp
@@ -25,6 +25,22 @@
         this->Loop,
         tcp::endpoint(Address, static_cast<uint16_t>(Lost.Peers.Port)));
   }
+  /// Starts all but the last host with a store of their own.
+  void separateStores() {
+    REQUIRE(this->OtherStore.listen().ok());
+    this->OtherStore.put("keyed.op", "config",
+                         standin::sampleTable(1, {"key-1"}));
+    for (const auto &Group : {this->Engines, this->PlainReplicas})
+      for (const auto &Target : Group)
+        this->OtherStore.put("keyed.servers", Target->id(),
+                             Target->entry("ready", "v1"));
+    for (size_t Index = 0; Index + 1 < this->Hosts.size(); ++Index) {
+      this->Hosts[Index].Config.Store = this->OtherStore.address();
+      this->startHost(Index);
+      this->awaitReady(this->Hosts[Index].Config.Ready);
+    }
+    this->runFor(absl::Seconds(3));
+  }
   /// The time until the last host refuses the key that a new table drops.
   absl::Duration timeToRefuse(const std::string &Key) {
     Instant Written = this->Timer.now();
@@ -41,6 +57,7 @@
   }
 
   std::vector<tcp::acceptor> Silent;
+  standin::Store OtherStore{this->Loop, this->Timer};
 };
 
 } // namespace
@@ -67,3 +84,15 @@
   this->putTable(2, {"key-2"});
   CHECK(this->timeToRefuse("key-1") < TableTime);
 }
+
+// The reader answers, but the store does not serve it any more.
+TEST_CASE_METHOD(ReaderLossFixture,
+                 "A host whose reader has old records learns of a table in "
+                 "time") {
+  this->separateStores();
+  absl::Duration Phase = absl::Milliseconds(GENERATE(0, 150, 300, 450));
+  this->runFor(Phase);
+  this->OtherStore.Behavior = standin::StoreBehavior::Silent;
+  this->putTable(2, {"key-2"});
+  CHECK(this->timeToRefuse("key-1") < TableTime);
+}
