Test daemons among clients that do not behave

They check that the process lives, that memory (VmHWM) and descriptors stay under the host's, and that an ordinary request is answered afterwards; no time.

--- /dev/null
+++ b/test/hostile_clients.h
@@ -0,0 +1,61 @@
+//===- hostile_clients.h - Clients that do not behave -----------*- C++ -*-===//
+//
+// Crowds of clients that send what servers find hard to hold, and the checks
+// that a daemon in a process of its own withstands them. The checks concern
+// memory, descriptors and an ordinary request afterwards; none concerns time.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef BERYLRAMP_TEST_HOSTILE_CLIENTS_H
+#define BERYLRAMP_TEST_HOSTILE_CLIENTS_H
+
+#include "berylramp/units.h"
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylramp {
+
+/// How a client sends its bytes.
+enum class Delivery {
+  Whole,
+  /// In portions, with pauses between them.
+  Pieces,
+  /// All but the last byte. The connection stays open.
+  ShortOfEnd
+};
+
+inline constexpr Delivery AllDeliveries[] = {Delivery::Whole, Delivery::Pieces,
+                                             Delivery::ShortOfEnd};
+
+/// Whether clients read answers.
+enum class Reading { Yes, No };
+
+/// Clients that send the same bytes and keep their connections open.
+class Crowd {
+public:
+  Crowd(boost::asio::io_context &Loop, const Endpoint &Target,
+        std::string Payload, int Clients, Delivery How,
+        Reading Reads = Reading::Yes);
+  ~Crowd();
+
+  /// Whether every client has sent its bytes or lost its connection.
+  bool isDone() const;
+
+private:
+  struct Client;
+  std::vector<std::shared_ptr<Client>> Clients;
+};
+
+/// The header lines of \p Bytes bytes: as many as fit, or with names and values
+/// of unusual forms.
+std::string shortHeaderLines(size_t Bytes);
+std::string oddHeaderLines(size_t Bytes);
+
+/// A chunked body of \p Bytes bytes in chunks of \p ChunkBytes.
+std::string chunkedBody(size_t Bytes, size_t ChunkBytes);
+
+} // namespace berylramp
+
+#endif // BERYLRAMP_TEST_HOSTILE_CLIENTS_H
