Keep a request's header in one string and count it from its first byte

What callers saw: requests of legal size with thousands of short header lines ended the process for want of memory.

Cause: each field was allocated by itself in the parser, in the request and in the list for the forwarded request, some 400 KB for a header of 16 KiB, and no account counted it. A request whose header was incomplete could not be ended either.

Why it works: HeaderBlock holds the fields as they are forwarded. The account counts the capacity of buffer, header and body and each open connection, and may end whatever is being received; a caller whose header is cut gets 503 with Retry-After, not run. Small holders end only when the account is full: idle connections are slow by nature. A search that finds no slow holder is not repeated for 10 ms, so that single bytes do not cost a search each. Names in a Connection field are looked up by hash.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -26,6 +26,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,18 +42,70 @@
 const std::string *findHeader(const std::vector<HeaderField> &Fields,
                               absl::string_view Name);
 
+/// The header fields of a request, in their order. Names have no colon, values
+/// no line break.
+class HeaderBlock {
+public:
+  struct Field {
+    absl::string_view Name;
+    absl::string_view Value;
+    /// The whole field with the line break at its end.
+    absl::string_view Line;
+  };
+  class Iterator {
+  public:
+    explicit Iterator(absl::string_view Rest) : Rest(Rest) { this->read(); }
+    const Field &operator*() const { return this->Current; }
+    Iterator &operator++() {
+      this->Rest.remove_prefix(this->Current.Line.size());
+      this->read();
+      return *this;
+    }
+    bool operator!=(const Iterator &Other) const {
+      return this->Rest.size() != Other.Rest.size();
+    }
+
+  private:
+    void read();
+    absl::string_view Rest;
+    Field Current;
+  };
+
+  HeaderBlock() = default;
+  HeaderBlock(
+      std::initializer_list<std::pair<absl::string_view, absl::string_view>>
+          Fields);
+  void add(absl::string_view Name, absl::string_view Value);
+  Iterator begin() const { return Iterator(this->Text); }
+  Iterator end() const { return Iterator(absl::string_view()); }
+  /// Bytes of memory that the fields take.
+  size_t memory() const { return this->Text.capacity(); }
+  /// Gives back memory that the fields do not need.
+  void shrink() { this->Text.shrink_to_fit(); }
+
+private:
+  std::string Text;
+};
+
+/// The value of the first field named \p Name in any case.
+std::optional<absl::string_view> findHeader(const HeaderBlock &Fields,
+                                            absl::string_view Name);
+
 /// A complete request of a caller.
 struct CallerRequest {
   std::string Method;
   /// Path and query exactly as in the request line.
   std::string Target;
-  std::vector<HeaderField> Headers;
+  HeaderBlock Headers;
   std::string Body;
   Instant ArrivedAt;
   /// The body was not received, because the host holds too many bytes.
   bool BodyRefused = false;
 };
 
+/// Bytes of memory that the request takes.
+size_t memoryOf(const CallerRequest &Request);
+
 /// Status line and header of an answer.
 struct HttpHead {
   int Status = 0;
--- a/include/berylramp/memory_account.h
+++ b/include/berylramp/memory_account.h
@@ -29,9 +29,11 @@
   /// Answers of replicas that are incomplete.
   Answer,
   /// Bytes of other hosts' connections to replicas, in both directions.
-  Tunnel
+  Tunnel,
+  /// Open connections that have sent nothing yet.
+  Connection
 };
-inline constexpr int HeldKindCount = static_cast<int>(HeldKind::Tunnel) + 1;
+inline constexpr int HeldKindCount = static_cast<int>(HeldKind::Connection) + 1;
 
 const char *heldKindName(HeldKind Kind);
 
@@ -80,6 +82,11 @@
   bool admits(int64_t Bytes) const {
     return this->Sum + Bytes <= this->Limits.Total;
   }
+  /// Whether \p Bytes of a request may be received. A small part beyond the
+  /// total lets ordinary requests in until the slowest holders have ended.
+  bool admitsInput(int64_t Bytes) const {
+    return this->Sum + Bytes <= this->Limits.Total + this->Limits.PerReader;
+  }
   /// False when there is little room and the owner has more than its share.
   bool admitsOwner(uint64_t Owner) const;
   /// Whether a holder may have to end.
--- a/src/edge/edge_explain.cpp
+++ b/src/edge/edge_explain.cpp
@@ -18,7 +18,7 @@
   Request.ArrivedAt = Now;
   auto AddHeader = [&](const std::string &Name, const std::string &Value) {
     if (!Value.empty())
-      Request.Headers.emplace_back(Name, Value);
+      Request.Headers.add(Name, Value);
   };
   AddHeader("Host", textAt(Query, "host"));
   std::string Key = textAt(Query, "key");
--- a/src/exchange/caller_connection.cpp
+++ b/src/exchange/caller_connection.cpp
@@ -20,8 +20,13 @@
 /// Time for which the rest of a refused body is received and dropped, so that
 /// the caller reads the refusal.
 constexpr absl::Duration DiscardTime = absl::Seconds(2);
-/// A body is held twice while it is sent to a replica.
+/// A body is counted twice while it is sent to a replica.
 constexpr int64_t BodyCopies = 2;
+/// Memory of an open connection that has received nothing.
+constexpr int64_t ConnectionBytes = 3 << 10;
+/// Time after which a refused caller finds room: the slowest of the others have
+/// ended by then.
+constexpr const char *RetryAfterFull = "1";
 constexpr const char *TooLargeReason = "Content Too Large";
 
 const char *reasonPhrase(int Status) {
@@ -63,6 +68,7 @@
       Self->endSlowReader();
   });
   this->Transport->setListener(this->weak_from_this());
+  this->Connection.set(ConnectionBytes);
   this->awaitRequest();
   this->Transport->startAccepted();
 }
@@ -87,14 +93,20 @@
 void CallerConnection::onBytes(absl::string_view Bytes) {
   if (this->Discards)
     return;
-  this->Buffer.append(Bytes.data(), Bytes.size());
   if (this->RequestActive) {
+    this->Buffer.append(Bytes.data(), Bytes.size());
     if (this->Buffer.size() > MaxBufferedBytes || !this->admits(0))
       this->Transport->pauseReading();
     this->updateInput();
     return;
   }
-  this->parse();
+  const HeldMemoryPtr &Memory = this->Hooks.Memory;
+  if (Memory != nullptr &&
+      !Memory->account().admitsInput(static_cast<int64_t>(Bytes.size()))) {
+    this->refuseInput();
+    return;
+  }
+  this->parse(Bytes);
 }
 
 void CallerConnection::sendWhole(const HttpHead &Head, const std::string &Body,
@@ -181,9 +193,11 @@
 }
 
 void CallerConnection::updateInput() {
-  size_t Count = this->Buffer.size() + this->ActiveBodyBytes;
-  if (this->Parser != nullptr && this->Parser->headDone())
-    Count += this->Parser->bodyBytes();
+  size_t Count = this->ActiveBytes;
+  if (!this->Buffer.empty())
+    Count += this->Buffer.capacity();
+  if (this->Parser != nullptr && this->Parser->hasStarted())
+    Count += this->Parser->memory();
   this->Input.set(static_cast<int64_t>(Count));
 }
 
@@ -196,6 +210,30 @@
   this->onDisconnected();
 }
 
+void CallerConnection::refuseInput() {
+  if (this->RequestActive || this->Discards || this->Parser == nullptr)
+    return;
+  if (this->Parser->headDone())
+    this->refuseBody();
+  else if (this->Parser->hasStarted() || !this->Buffer.empty())
+    this->refuseHead();
+  else
+    this->closeNow();
+}
+
+void CallerConnection::refuseHead() {
+  this->Discards = true;
+  this->Parser.reset();
+  this->Buffer = std::string();
+  this->updateInput();
+  this->RequestActive = true;
+  this->KeepAlive = false;
+  HttpHead Head;
+  Head.Status = 503;
+  Head.Headers.emplace_back("Retry-After", RetryAfterFull);
+  this->sendWhole(Head, "", true);
+}
+
 void CallerConnection::refuseBody() {
   this->Discards = true;
   CallerRequest Request = this->Parser->releaseRequest();
@@ -211,14 +249,47 @@
   this->Limits = this->Hooks.Limits();
   this->Parser = std::make_unique<RequestParser>(this->Limits);
   this->ContinueHandled = false;
-  this->ActiveBodyBytes = 0;
+  this->ActiveBytes = 0;
   this->updateInput();
+  this->Input.identify(0, "");
+  this->setMayEnd(true);
   this->startTimeout(this->Limits.IdleTimeout);
 }
 
-void CallerConnection::parse() {
+void CallerConnection::setMayEnd(bool MayEnd) {
+  for (HeldBytes *Held : {&this->Connection, &this->Input}) {
+    if (!MayEnd) {
+      Held->setEnd(nullptr);
+      continue;
+    }
+    Held->setEnd([Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->refuseInput();
+    });
+  }
+}
+
+// Most requests arrive in one read, which is parsed where it is.
+ParseFault CallerConnection::feed(absl::string_view Bytes) {
+  size_t Consumed = 0;
+  if (this->Buffer.empty()) {
+    ParseFault Fault = this->Parser->feed(Bytes, Consumed);
+    Bytes.remove_prefix(Consumed);
+    this->Buffer.assign(Bytes.data(), Bytes.size());
+    return Fault;
+  }
+  this->Buffer.append(Bytes.data(), Bytes.size());
+  ParseFault Fault = this->Parser->feed(this->Buffer, Consumed);
+  if (Consumed == this->Buffer.size())
+    this->Buffer = std::string();
+  else
+    this->Buffer.erase(0, Consumed);
+  return Fault;
+}
+
+void CallerConnection::parse(absl::string_view Bytes) {
   bool HadStarted = this->Parser->hasStarted();
-  ParseFault Fault = this->Parser->feed(this->Buffer);
+  ParseFault Fault = this->feed(Bytes);
   if (Fault != ParseFault::None) {
     this->rejectMalformed(Fault);
     return;
@@ -230,6 +301,7 @@
     Missing =
         std::max(this->Parser->announcedBytes(), this->Parser->bodyBytes()) -
         this->Parser->bodyBytes();
+  this->updateInput();
   if (HasBody && !this->admits(Missing)) {
     this->refuseBody();
     return;
@@ -239,13 +311,6 @@
                        this->Parser->keepAlive());
     return;
   }
-  this->updateInput();
-  if (HasBody && !this->ContinueHandled)
-    this->Input.setEnd([Weak = this->weak_from_this()] {
-      auto Self = Weak.lock();
-      if (Self && !Self->RequestActive && Self->Parser != nullptr)
-        Self->refuseBody();
-    });
   if (!HadStarted && !(this->Buffer.empty() && !this->Parser->hasStarted()))
     this->startTimeout(this->Limits.HeaderTimeout);
   if (this->Parser->headDone()) {
@@ -261,8 +326,8 @@
   this->TimeoutTimer.cancel();
   this->KeepAlive = MayKeepAlive;
   this->Parser.reset();
-  this->Input.setEnd(nullptr);
-  this->ActiveBodyBytes = Request.Body.size();
+  this->setMayEnd(false);
+  this->ActiveBytes = memoryOf(Request);
   this->updateInput();
   Request.ArrivedAt = this->Hooks.Timer->now();
   this->HeadOnly = Request.Method == "HEAD";
@@ -283,8 +348,13 @@
 void CallerConnection::finish(bool Close) {
   this->RequestActive = false;
   this->DisconnectHandler = nullptr;
-  if (Close)
-    this->Input.setEnd(nullptr);
+  if (Close) {
+    this->setMayEnd(false);
+    this->Parser.reset();
+    this->Buffer = std::string();
+    this->ActiveBytes = 0;
+    this->updateInput();
+  }
   if (Close && this->Discards) {
     this->startTimeout(DiscardTime);
     return;
@@ -304,7 +374,7 @@
   if (!this->Buffer.empty())
     boost::asio::post(this->Loop, [Self = this->shared_from_this()] {
       if (!Self->RequestActive && Self->Transport->isOpen())
-        Self->parse();
+        Self->parse("");
     });
 }
 
@@ -337,10 +407,11 @@
 void CallerConnection::onDisconnected() {
   this->TimeoutTimer.cancel();
   this->RequestActive = false;
-  this->ActiveBodyBytes = 0;
+  this->ActiveBytes = 0;
   this->Buffer = std::string();
   this->Parser.reset();
   this->Input.set(0);
+  this->Connection.set(0);
   auto Self = this->shared_from_this();
   std::function<void()> Call;
   std::swap(Call, this->DisconnectHandler);
--- a/src/exchange/caller_connection.h
+++ b/src/exchange/caller_connection.h
@@ -34,6 +34,7 @@
         TimeoutTimer(Loop), Hooks(std::move(Hooks)),
         Output(this->Transport->countUnsent(this->Hooks.Memory,
                                             HeldKind::CallerOutput)),
+        Connection(this->Hooks.Memory, HeldKind::Connection),
         Input(this->Hooks.Memory, HeldKind::CallerInput) {}
 
   void start();
@@ -55,13 +56,20 @@
   bool shouldClose(bool Requested) const;
   bool admits(size_t Bytes) const;
   size_t maxUnsentBytes() const;
-  /// Counts the bytes that were received and not released.
+  /// Counts the memory of what was received and not released.
   void updateInput();
   void endSlowReader();
+  /// Frees what was received of a request, because the host holds too many
+  /// bytes. The caller is told to come back; an idle connection is closed.
+  void refuseInput();
   /// Answers a request whose body is not received.
   void refuseBody();
+  void refuseHead();
   void awaitRequest();
-  void parse();
+  void setMayEnd(bool MayEnd);
+  /// Parses what is left of earlier bytes, then \p Bytes.
+  void parse(absl::string_view Bytes);
+  ParseFault feed(absl::string_view Bytes);
   void startRequest(CallerRequest Request, bool MayKeepAlive);
   void rejectMalformed(ParseFault Fault);
   void finish(bool Close);
@@ -74,8 +82,10 @@
   CancellableTimer TimeoutTimer;
   ListenerHooks Hooks;
   HeldBytes &Output;
+  HeldBytes Connection;
   HeldBytes Input;
-  size_t ActiveBodyBytes = 0;
+  /// Memory of the request in progress.
+  size_t ActiveBytes = 0;
   CallerLimits Limits;
   std::unique_ptr<RequestParser> Parser;
   std::string Buffer;
--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -2,6 +2,8 @@
 
 #include "forwarding.h"
 
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -14,25 +16,30 @@
 
 namespace {
 
-/// Returns the fields that the Connection header lists; they are hop-by-hop.
-std::vector<std::string>
-connectionOptions(const std::vector<HeaderField> &Fields) {
-  std::vector<std::string> Names;
-  for (const HeaderField &Field : Fields) {
-    if (!absl::EqualsIgnoreCase(Field.first, "Connection"))
-      continue;
-    for (absl::string_view Part : absl::StrSplit(Field.second, ','))
-      Names.emplace_back(absl::StripAsciiWhitespace(Part));
+/// Names of fields in any case. A look-up does not depend on their number: a
+/// caller may name thousands.
+class FieldNames {
+public:
+  void add(absl::string_view Name) {
+    this->Hashes.insert(hashOf(absl::StripAsciiWhitespace(Name)));
+  }
+  /// Adds the fields that a Connection header lists; they are hop-by-hop.
+  void addOptions(absl::string_view Value) {
+    for (absl::string_view Part : absl::StrSplit(Value, ','))
+      this->add(Part);
+  }
+  bool contains(absl::string_view Name) const {
+    return this->Hashes.contains(hashOf(Name));
   }
-  return Names;
-}
 
-bool containsName(const std::vector<std::string> &Names,
-                  absl::string_view Name) {
-  return std::any_of(Names.begin(), Names.end(), [&](const std::string &Field) {
-    return absl::EqualsIgnoreCase(Field, Name);
-  });
-}
+private:
+  static uint64_t hashOf(absl::string_view Name) {
+    return stableHash(absl::AsciiStrToLower(Name));
+  }
+  absl::flat_hash_set<uint64_t> Hashes;
+};
+
+constexpr absl::string_view ConnectionField = "Connection";
 
 /// A replica that needs a longer pause is replaced.
 constexpr absl::Duration MaxPause = absl::Minutes(10);
@@ -60,27 +67,31 @@
 
 } // namespace
 
-std::string forwardedRequest(const CallerRequest &Request,
-                             const HeaderNames &Names,
-                             const ForwardOverrides &Overrides) {
-  std::vector<std::string> Dropped = connectionOptions(Request.Headers);
-  Dropped.insert(Dropped.end(), Names.Reserved.begin(), Names.Reserved.end());
-  Dropped.insert(Dropped.end(),
-                 {"Content-Length", "Expect", Names.DeadlineMs,
-                  Names.ExpectReplica, Names.Workspace, Names.Urgency});
+std::string forwardedHead(const CallerRequest &Request,
+                          const HeaderNames &Names,
+                          const ForwardOverrides &Overrides) {
+  FieldNames Dropped;
+  for (const HeaderBlock::Field &Field : Request.Headers)
+    if (absl::EqualsIgnoreCase(Field.Name, ConnectionField))
+      Dropped.addOptions(Field.Value);
+  for (const std::string &Name : Names.Reserved)
+    Dropped.add(Name);
+  for (absl::string_view Name :
+       {absl::string_view("Content-Length"), absl::string_view("Expect"),
+        absl::string_view("Authorization"), absl::string_view(Names.DeadlineMs),
+        absl::string_view(Names.ExpectReplica),
+        absl::string_view(Names.Workspace), absl::string_view(Names.Urgency)})
+    Dropped.add(Name);
   if (!Overrides.Model.empty())
-    Dropped.push_back(Names.Model);
+    Dropped.add(Names.Model);
   if (Overrides.LastEventId >= 0)
-    Dropped.push_back(Names.LastEventId);
+    Dropped.add(Names.LastEventId);
   std::string Message =
       absl::StrCat(Request.Method, " ", Request.Target, " HTTP/1.1\r\n");
+  for (const HeaderBlock::Field &Field : Request.Headers)
+    if (!isHopByHop(Field.Name) && !Dropped.contains(Field.Name))
+      absl::StrAppend(&Message, Field.Line);
   std::vector<HeaderField> Fields;
-  for (const HeaderField &Field : Request.Headers) {
-    bool IsAuthorization = absl::EqualsIgnoreCase(Field.first, "Authorization");
-    if (!IsAuthorization && !isHopByHop(Field.first) &&
-        !containsName(Dropped, Field.first))
-      Fields.push_back(Field);
-  }
   Fields.emplace_back(Names.DeadlineMs, absl::StrCat(Overrides.DeadlineMs));
   Fields.emplace_back(Names.ExpectReplica, Overrides.ExpectedReplica.text());
   if (!Overrides.Workspace.empty())
@@ -94,12 +105,14 @@
   if (mayHaveRequestBody(Request))
     Fields.emplace_back("Content-Length", absl::StrCat(Request.Body.size()));
   appendFields(Message, Fields);
-  Message += Request.Body;
   return Message;
 }
 
 HttpHead relayedHead(const HttpHead &Head) {
-  std::vector<std::string> Dropped = connectionOptions(Head.Headers);
+  FieldNames Dropped;
+  for (const HeaderField &Field : Head.Headers)
+    if (absl::EqualsIgnoreCase(Field.first, ConnectionField))
+      Dropped.addOptions(Field.second);
   HttpHead Result;
   Result.Status = Head.Status;
   Result.Reason = Head.Reason;
@@ -107,15 +120,15 @@
     bool IsContentLength =
         absl::EqualsIgnoreCase(Field.first, "Content-Length");
     if (!IsContentLength && !isHopByHop(Field.first) &&
-        !containsName(Dropped, Field.first))
+        !Dropped.contains(Field.first))
       Result.Headers.push_back(Field);
   }
   return Result;
 }
 
 std::string apiKeyOf(const CallerRequest &Request, const HeaderNames &Names) {
-  const std::string *Field = findHeader(Request.Headers, "Authorization");
-  if (Field == nullptr)
+  auto Field = findHeader(Request.Headers, "Authorization");
+  if (!Field)
     return "";
   absl::string_view Text = *Field;
   size_t Space = Text.find(' ');
@@ -126,8 +139,8 @@
 }
 
 std::string hostWithoutPort(const CallerRequest &Request) {
-  const std::string *Field = findHeader(Request.Headers, "Host");
-  return Field == nullptr ? "" : Field->substr(0, Field->find(':'));
+  absl::string_view Field = findHeader(Request.Headers, "Host").value_or("");
+  return std::string(Field.substr(0, Field.find(':')));
 }
 
 uint64_t requestIdentity(const CallerRequest &Request,
@@ -141,14 +154,12 @@
 PromptInfo parsePromptInfo(const CallerRequest &Request,
                            const HeaderNames &Names) {
   PromptInfo Info;
-  if (const std::string *Counts =
-          findHeader(Request.Headers, Names.TokenCounts)) {
+  if (auto Counts = findHeader(Request.Headers, Names.TokenCounts)) {
     std::vector<absl::string_view> Values = absl::StrSplit(*Counts, ',');
     Info.PromptTokens = parseNumber(Values[0]);
     Info.OutputTokens = Values.size() > 1 ? parseNumber(Values[1]) : 0;
   }
-  if (const std::string *Segments =
-          findHeader(Request.Headers, Names.PromptSegments)) {
+  if (auto Segments = findHeader(Request.Headers, Names.PromptSegments)) {
     for (absl::string_view Segment : absl::StrSplit(*Segments, ',')) {
       size_t Colon = Segment.find(':');
       if (Colon == absl::string_view::npos)
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -26,9 +26,10 @@
   int Urgency = -1;
 };
 
-std::string forwardedRequest(const CallerRequest &Request,
-                             const HeaderNames &Names,
-                             const ForwardOverrides &Overrides);
+/// Everything of the forwarded request before its body.
+std::string forwardedHead(const CallerRequest &Request,
+                          const HeaderNames &Names,
+                          const ForwardOverrides &Overrides);
 
 /// Returns \p Head without hop-by-hop fields and Content-Length.
 HttpHead relayedHead(const HttpHead &Head);
--- a/src/exchange/held_memory.cpp
+++ b/src/exchange/held_memory.cpp
@@ -8,6 +8,19 @@
 
 namespace berylramp {
 
+namespace {
+
+/// Interval of searches for a slow holder that find none.
+constexpr absl::Duration SearchInterval = absl::Milliseconds(10);
+
+} // namespace
+
+bool HeldMemory::isSearchDue() const {
+  return this->Bytes.isExceeded() &&
+         (this->Bytes.total() > this->Bytes.bounds().Total ||
+          !(this->Timer.now() < this->NextSearchAt));
+}
+
 void HeldMemory::set(HeldBytes &Target, int64_t Count) {
   bool Grows = Count > Target.Count;
   if (Count > 0)
@@ -15,7 +28,7 @@
   else
     this->Open.erase(Target.Description.Id);
   this->Bytes.set(Target.Description, Count, this->Timer.now());
-  if (!Grows || this->IsScheduled || !this->Bytes.isExceeded())
+  if (!Grows || this->IsScheduled || !this->isSearchDue())
     return;
   this->IsScheduled = true;
   boost::asio::post(this->Loop, [Weak = this->weak_from_this()] {
@@ -28,6 +41,7 @@
   this->IsScheduled = false;
   while (std::optional<uint64_t> Id = this->Bytes.nextToEnd(this->Timer.now()))
     this->Open.at(*Id)->end();
+  this->NextSearchAt = this->Timer.now() + SearchInterval;
 }
 
 void HeldMemory::logEnd(const HeldBytes &Target) const {
--- a/src/exchange/held_memory.h
+++ b/src/exchange/held_memory.h
@@ -33,6 +33,7 @@
 private:
   friend class HeldBytes;
   void set(HeldBytes &Target, int64_t Count);
+  bool isSearchDue() const;
   void endSlowest();
   void logEnd(const HeldBytes &Target) const;
 
@@ -44,6 +45,9 @@
   absl::flat_hash_map<uint64_t, HeldBytes *> Open;
   uint64_t NextId = 1;
   bool IsScheduled = false;
+  /// No search before it while the account is not full; each one takes time in
+  /// proportion to the number of holders.
+  Instant NextSearchAt;
 };
 
 using HeldMemoryPtr = std::shared_ptr<HeldMemory>;
--- a/src/exchange/http_parse.cpp
+++ b/src/exchange/http_parse.cpp
@@ -9,6 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include <algorithm>
 #include <array>
 #include <boost/beast/http.hpp>
 
@@ -33,24 +34,24 @@
 }
 
 template <typename Parser>
-ParseFault feedParser(Parser &BeastParser, std::string &Bytes) {
-  size_t Offset = 0;
+ParseFault feedParser(Parser &BeastParser, absl::string_view Bytes,
+                      size_t &Consumed) {
+  Consumed = 0;
   ParseFault Fault = ParseFault::None;
-  while (Offset < Bytes.size() && !BeastParser.is_done()) {
+  while (Consumed < Bytes.size() && !BeastParser.is_done()) {
     boost::system::error_code Error;
-    size_t Consumed = BeastParser.put(
-        boost::asio::buffer(Bytes.data() + Offset, Bytes.size() - Offset),
+    size_t Count = BeastParser.put(
+        boost::asio::buffer(Bytes.data() + Consumed, Bytes.size() - Consumed),
         Error);
-    Offset += Consumed;
+    Consumed += Count;
     Fault = toParseFault(Error);
-    if (Fault != ParseFault::None || (Error && Consumed == 0))
+    if (Fault != ParseFault::None || (Error && Count == 0))
       break;
-    if (Error == http::error::need_more && Consumed == 0)
+    if (Error == http::error::need_more && Count == 0)
       break;
   }
-  Bytes.erase(0, Offset);
   bool NeedsMore = Fault == ParseFault::None && !BeastParser.is_done();
-  if (NeedsMore && Bytes.size() > MaxUnparsedBytes)
+  if (NeedsMore && Bytes.size() - Consumed > MaxUnparsedBytes)
     return ParseFault::HeaderTooLong;
   return Fault;
 }
@@ -98,59 +99,119 @@
   Buffer += "\r\n";
 }
 
-struct RequestParser::Impl {
-  http::request_parser<http::string_body> Reader;
+/// Parses a request into one string for its header and one for its body.
+/// Beast's own containers allocate each field, and reserve a body of the length
+/// that the sender announces.
+struct RequestParser::Impl : http::basic_parser<true> {
+  CallerRequest Parsed;
+  uint64_t AnnouncedBytes = 0;
+  bool WantsContinue = false;
+
+  /// Makes room for \p Count bytes of the body. The memory of a body whose
+  /// length is announced never exceeds it.
+  void reserveBody(size_t Count) {
+    std::string &Body = this->Parsed.Body;
+    size_t Needed = Body.size() + Count;
+    if (Needed <= Body.capacity())
+      return;
+    size_t Doubled = 2 * Body.capacity();
+    if (this->AnnouncedBytes >= Needed)
+      Doubled = std::min<size_t>(Doubled, this->AnnouncedBytes);
+    Body.reserve(std::max(Needed, Doubled));
+  }
+
+  // NOLINTBEGIN(readability-identifier-naming): the names that Beast requires.
+private:
+  using Text = boost::string_view;
+  using ErrorCode = boost::system::error_code;
+
+  void on_request_impl(http::verb, Text Method, Text Target, int,
+                       ErrorCode &Error) override {
+    Error = {};
+    this->Parsed.Method.assign(Method.data(), Method.size());
+    this->Parsed.Target.assign(Target.data(), Target.size());
+  }
+  void on_response_impl(int, Text, int, ErrorCode &Error) override {
+    Error = {};
+  }
+  void on_field_impl(http::field Name, Text NameText, Text Value,
+                     ErrorCode &Error) override {
+    Error = {};
+    // Fields that follow a chunked body are not forwarded.
+    if (this->is_header_done())
+      return;
+    if (Name == http::field::expect)
+      this->WantsContinue = boost::beast::iequals(Value, "100-continue");
+    this->Parsed.Headers.add({NameText.data(), NameText.size()},
+                             {Value.data(), Value.size()});
+  }
+  void on_header_impl(ErrorCode &Error) override {
+    Error = {};
+    this->Parsed.Headers.shrink();
+  }
+  void on_body_init_impl(const boost::optional<uint64_t> &Length,
+                         ErrorCode &Error) override {
+    Error = {};
+    this->AnnouncedBytes = Length.value_or(0);
+  }
+  size_t on_body_impl(Text Bytes, ErrorCode &Error) override {
+    Error = {};
+    this->reserveBody(Bytes.size());
+    this->Parsed.Body.append(Bytes.data(), Bytes.size());
+    return Bytes.size();
+  }
+  void on_chunk_header_impl(uint64_t, Text, ErrorCode &Error) override {
+    Error = {};
+  }
+  size_t on_chunk_body_impl(uint64_t, Text Bytes, ErrorCode &Error) override {
+    return this->on_body_impl(Bytes, Error);
+  }
+  void on_finish_impl(ErrorCode &Error) override { Error = {}; }
+  // NOLINTEND(readability-identifier-naming)
 };
 
 RequestParser::RequestParser(const CallerLimits &Limits)
     : Parser(std::make_unique<Impl>()) {
-  this->Parser->Reader.eager(true);
-  this->Parser->Reader.header_limit(static_cast<uint32_t>(Limits.HeaderBytes));
-  this->Parser->Reader.body_limit(static_cast<uint64_t>(Limits.BodyBytes));
+  this->Parser->eager(true);
+  this->Parser->header_limit(static_cast<uint32_t>(Limits.HeaderBytes));
+  this->Parser->body_limit(static_cast<uint64_t>(Limits.BodyBytes));
 }
 
 RequestParser::~RequestParser() = default;
 
-ParseFault RequestParser::feed(std::string &Bytes) {
-  return feedParser(this->Parser->Reader, Bytes);
+ParseFault RequestParser::feed(absl::string_view Bytes, size_t &Consumed) {
+  return feedParser(*this->Parser, Bytes, Consumed);
 }
 
-bool RequestParser::hasStarted() const {
-  return this->Parser->Reader.got_some();
-}
+bool RequestParser::hasStarted() const { return this->Parser->got_some(); }
 
-bool RequestParser::headDone() const {
-  return this->Parser->Reader.is_header_done();
-}
+bool RequestParser::headDone() const { return this->Parser->is_header_done(); }
 
-bool RequestParser::done() const { return this->Parser->Reader.is_done(); }
+bool RequestParser::done() const { return this->Parser->is_done(); }
 
-bool RequestParser::keepAlive() const {
-  return this->Parser->Reader.keep_alive();
-}
+bool RequestParser::keepAlive() const { return this->Parser->keep_alive(); }
 
 bool RequestParser::wantsContinue() const {
-  const auto &Message = this->Parser->Reader.get();
-  return boost::beast::iequals(Message[http::field::expect], "100-continue");
+  return this->Parser->WantsContinue;
 }
 
 size_t RequestParser::bodyBytes() const {
-  return this->Parser->Reader.get().body().size();
+  return this->Parser->Parsed.Body.size();
 }
 
 size_t RequestParser::announcedBytes() const {
-  auto Length = this->Parser->Reader.content_length();
-  return Length ? static_cast<size_t>(*Length) : 0;
+  return static_cast<size_t>(this->Parser->AnnouncedBytes);
 }
 
+size_t RequestParser::memory() const { return memoryOf(this->Parser->Parsed); }
+
 CallerRequest RequestParser::releaseRequest() {
-  auto &Message = this->Parser->Reader.get();
-  CallerRequest Result;
-  Result.Method = std::string(Message.method_string());
-  Result.Target = std::string(Message.target());
-  Result.Headers = toHeaderFields(Message);
-  Result.Body = std::move(Message.body());
-  return Result;
+  return std::move(this->Parser->Parsed);
+}
+
+size_t memoryOf(const CallerRequest &Request) {
+  return Request.Headers.memory() + Request.Method.capacity() +
+         Request.Target.capacity() + Request.Body.capacity();
 }
 
 namespace {
@@ -208,7 +269,10 @@
 AnswerParser::~AnswerParser() = default;
 
 ParseFault AnswerParser::feed(std::string &Bytes) {
-  return feedParser(this->Parser->Reader, Bytes);
+  size_t Consumed = 0;
+  ParseFault Fault = feedParser(this->Parser->Reader, Bytes, Consumed);
+  Bytes.erase(0, Consumed);
+  return Fault;
 }
 
 bool AnswerParser::headDone() const {
--- a/src/exchange/http_parse.h
+++ b/src/exchange/http_parse.h
@@ -21,8 +21,9 @@
   explicit RequestParser(const CallerLimits &Limits);
   ~RequestParser();
 
-  /// Parses from the front of \p Bytes and removes the consumed bytes.
-  ParseFault feed(std::string &Bytes);
+  /// Parses from the front of \p Bytes; \p Consumed is set to the number of
+  /// bytes that need not be passed again.
+  ParseFault feed(absl::string_view Bytes, size_t &Consumed);
   bool hasStarted() const;
   bool headDone() const;
   bool done() const;
@@ -32,6 +33,8 @@
   /// when it announces none.
   size_t bodyBytes() const;
   size_t announcedBytes() const;
+  /// Bytes of memory that the parsed parts of the request take.
+  size_t memory() const;
   CallerRequest releaseRequest();
 
 private:
--- a/src/exchange/relay.cpp
+++ b/src/exchange/relay.cpp
@@ -56,9 +56,8 @@
 
 bool Relay::admit() {
   const HeaderNames &Names = this->Core.Settings.Names;
-  if (const std::string *Id =
-          findHeader(this->Request.Headers, Names.RequestId))
-    this->RequestId = *Id;
+  if (auto Id = findHeader(this->Request.Headers, Names.RequestId))
+    this->RequestId = std::string(*Id);
   this->Table = this->Core.Hooks.Table();
   if (this->Table == nullptr) {
     this->refuse(RefusalKind::NoTable,
@@ -123,17 +122,16 @@
   this->Regions =
       combineRegions(this->MatchedRoute->Regions, this->Workspace.Regions);
   this->RegionsOfReplicas = this->Core.Registry.regionRule(this->Regions);
-  const std::string *Session = findHeader(this->Request.Headers, Names.Session);
-  const std::string &DrawKey = Session != nullptr ? *Session : this->RequestId;
+  absl::string_view DrawKey = findHeader(this->Request.Headers, Names.Session)
+                                  .value_or(this->RequestId);
   this->VersionDraw = hashToUnitInterval(absl::StrCat("version/", DrawKey));
   int64_t Last = -1;
-  if (const std::string *Id =
-          findHeader(this->Request.Headers, Names.LastEventId))
+  if (auto Id = findHeader(this->Request.Headers, Names.LastEventId))
     Last = absl::SimpleAtoi(*Id, &Last) ? Last : -1;
   this->Sequence = EventSequence(Last);
-  const std::string *Model = findHeader(this->Request.Headers, Names.Model);
-  this->ChoosesModel = Model != nullptr && *Model == Names.AnyModel &&
-                       !this->MatchedRoute->Models.empty();
+  this->ChoosesModel =
+      findHeader(this->Request.Headers, Names.Model) == Names.AnyModel &&
+      !this->MatchedRoute->Models.empty();
   if (!this->ChoosesModel)
     return;
   const ServiceInfo *Info = this->Table->service(this->Service);
@@ -158,9 +156,8 @@
   const HeaderNames &Names = this->Core.Settings.Names;
   absl::Duration Remaining = DefaultDeadline;
   int64_t Ms = 0;
-  const std::string *Field =
-      findHeader(this->Request.Headers, Names.DeadlineMs);
-  if (Field != nullptr && absl::SimpleAtoi(*Field, &Ms))
+  auto Field = findHeader(this->Request.Headers, Names.DeadlineMs);
+  if (Field && absl::SimpleAtoi(*Field, &Ms))
     Remaining = absl::Milliseconds(Ms) - ReturnPathMargin;
   Remaining = std::min(Remaining, this->MatchedRoute->Timeout);
   this->DeadlineAt = this->Request.ArrivedAt + Remaining;
@@ -351,7 +348,8 @@
   else if (HasFirstByteTimeout)
     NewAttempt->startTimeout(NewAttempt->FirstByteTimeout);
   NewAttempt->Connection->start(
-      forwardedRequest(this->Request, Core.Settings.Names, Overrides),
+      forwardedHead(this->Request, Core.Settings.Names, Overrides) +
+          this->Request.Body,
       this->Request.Method == "HEAD", NewAttempt);
 }
 
--- a/src/exchange/relay_end.cpp
+++ b/src/exchange/relay_end.cpp
@@ -155,9 +155,9 @@
   }
   if (this->ChoosesModel)
     Line["model"] = this->MatchedRoute->Models[this->ModelIndex].text();
-  if (const std::string *Session =
+  if (auto Session =
           findHeader(this->Request.Headers, this->Core.Settings.Names.Session))
-    Line["session"] = *Session;
+    Line["session"] = std::string(*Session);
   if (this->StreamStarted) {
     Line["last_event"] = Json::Int64(this->Sequence.lastId());
     Line["first_ms"] =
--- a/src/exchange/relay_explain.cpp
+++ b/src/exchange/relay_explain.cpp
@@ -104,10 +104,9 @@
     Expected = View.Expected.QueueDelay + View.Expected.PrefillTime;
   }
   int64_t DeadlineMs = 0;
-  const std::string *Deadline =
+  auto Deadline =
       findHeader(this->Request.Headers, this->Core.Settings.Names.DeadlineMs);
-  if (HasChoice && Deadline != nullptr &&
-      absl::SimpleAtoi(*Deadline, &DeadlineMs))
+  if (HasChoice && Deadline && absl::SimpleAtoi(*Deadline, &DeadlineMs))
     Result["expected_in_time"] = Expected < absl::Milliseconds(DeadlineMs);
   if (this->Core.Hooks.RejectsNewRequests())
     Result["refused"] =
--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -125,7 +125,10 @@
     this->Buffer.append(Bytes.data(), Bytes.size());
     if (this->Parser == nullptr)
       return;
-    if (this->Parser->feed(this->Buffer) != ParseFault::None) {
+    size_t Consumed = 0;
+    ParseFault Fault = this->Parser->feed(this->Buffer, Consumed);
+    this->Buffer.erase(0, Consumed);
+    if (Fault != ParseFault::None) {
       this->end();
       return;
     }
@@ -142,8 +145,8 @@
       this->answer(TunnelAnswer::Unavailable);
       return;
     }
-    const std::string *Framing = findHeader(Request.Headers, FramingHeader);
-    this->IsChunked = Framing != nullptr && *Framing == ChunkedFraming;
+    this->IsChunked =
+        findHeader(Request.Headers, FramingHeader) == ChunkedFraming;
     this->Target = *Found;
     this->StartedAt = this->Timer.now();
     this->startTimeout(ConnectTimeout, [](Tunnel &Self) {
--- a/src/memory_account/memory_account.cpp
+++ b/src/memory_account/memory_account.cpp
@@ -55,9 +55,11 @@
   case HeldKind::Answer:
     return "answer";
   case HeldKind::Tunnel:
+    return "tunnel";
+  case HeldKind::Connection:
     break;
   }
-  return "tunnel";
+  return "connection";
 }
 
 MemoryBounds memoryBounds(int64_t MemoryBytes) {
@@ -153,7 +155,9 @@
   };
   const Entry *Slowest = nullptr;
   for (const auto &[Id, Candidate] : this->Entries) {
-    bool IsSlow = Now - Candidate.MarkAt >= SlowLag;
+    // Holders of few bytes are many, and idle ones are slow by nature.
+    bool IsSlow =
+        Now - Candidate.MarkAt >= SlowLag && Candidate.Bytes >= MinFreedBytes;
     bool Applies = IsFull || (IsSlow && (IsShort || IsAboveShare(Candidate)));
     if (!Candidate.Description.MayEnd || !Applies)
       continue;
