Free the memory of strings that are given up

An assignment of an empty string keeps the capacity of the old one, so that a refused body and the buffer of a closed connection were held until their owner ended. 'A stalled upload is refused when others need its memory' showed it once capacities counted: 65,492 bytes were left.

--- a/src/exchange/caller_connection.cpp
+++ b/src/exchange/caller_connection.cpp
@@ -56,6 +56,9 @@
   }
 }
 
+/// Unlike an assignment, which keeps the capacity.
+void freeMemory(std::string &Text) { std::string().swap(Text); }
+
 bool statusAllowsBody(int Status) {
   return Status >= 200 && Status != 204 && Status != 304;
 }
@@ -224,7 +227,7 @@
 void CallerConnection::refuseHead() {
   this->Discards = true;
   this->Parser.reset();
-  this->Buffer = std::string();
+  freeMemory(this->Buffer);
   this->updateInput();
   this->RequestActive = true;
   this->KeepAlive = false;
@@ -238,8 +241,8 @@
   this->Discards = true;
   CallerRequest Request = this->Parser->releaseRequest();
   Request.BodyRefused = true;
-  Request.Body = std::string();
-  this->Buffer = std::string();
+  freeMemory(Request.Body);
+  freeMemory(this->Buffer);
   this->startRequest(std::move(Request), /*MayKeepAlive=*/false);
 }
 
@@ -281,7 +284,7 @@
   this->Buffer.append(Bytes.data(), Bytes.size());
   ParseFault Fault = this->Parser->feed(this->Buffer, Consumed);
   if (Consumed == this->Buffer.size())
-    this->Buffer = std::string();
+    freeMemory(this->Buffer);
   else
     this->Buffer.erase(0, Consumed);
   return Fault;
@@ -351,7 +354,7 @@
   if (Close) {
     this->setMayEnd(false);
     this->Parser.reset();
-    this->Buffer = std::string();
+    freeMemory(this->Buffer);
     this->ActiveBytes = 0;
     this->updateInput();
   }
@@ -408,7 +411,7 @@
   this->TimeoutTimer.cancel();
   this->RequestActive = false;
   this->ActiveBytes = 0;
-  this->Buffer = std::string();
+  freeMemory(this->Buffer);
   this->Parser.reset();
   this->Input.set(0);
   this->Connection.set(0);
