Bound what the tunnel listener holds before a tunnel is open

What callers saw: a client of the port for tunnels ended the process for want of memory.

Cause: a request for a tunnel could have a body of 4 MiB, which no account counted, and what was sent while the replica's connection was being opened was buffered without a bound.

Why it works: a request has at most 1,024 bytes and no body, reading stops once it is complete, and each tunnel counts from its first byte and may be ended before it is open.

--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -24,6 +24,19 @@
 /// Each tunnel takes two file descriptors.
 constexpr size_t MaxTunnels = 1000;
 constexpr size_t MaxUnsentBytes = 64U << 10;
+/// Limit on the header of a request for a tunnel, which other hosts send. It
+/// has no body.
+constexpr int64_t MaxRequestBytes = 1024;
+/// Memory of a tunnel, with both connections and the bytes of its request.
+constexpr int64_t TunnelBytes = 24 << 10;
+
+CallerLimits requestLimits() {
+  CallerLimits Limits;
+  Limits.HeaderBytes = MaxRequestBytes;
+  Limits.BodyBytes = 0;
+  return Limits;
+}
+
 /// Timeouts for the request and for opening the connection to the replica.
 constexpr absl::Duration RequestTimeout = absl::Seconds(2);
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(400);
@@ -79,7 +92,8 @@
         HostSide(std::make_shared<TunnelSide>(*this, true)),
         ReplicaSide(std::make_shared<TunnelSide>(*this, false)),
         TimeoutTimer(Loop), Remove(std::move(Remove)),
-        Parser(std::make_unique<RequestParser>(CallerLimits())) {}
+        Parser(std::make_unique<RequestParser>(requestLimits())),
+        Held(Hooks.Memory, HeldKind::Connection) {}
 
   void start(bool HasRoom) {
     this->IsRefused = !HasRoom;
@@ -89,6 +103,11 @@
             if (auto Self = Weak.lock())
               Self->endSlow();
           });
+    this->Held.set(TunnelBytes);
+    this->Held.setEnd([Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->end();
+    });
     this->Host->setListener(this->HostSide);
     this->startTimeout(RequestTimeout, [](Tunnel &Self) { Self.end(); });
     this->Host->startAccepted();
@@ -134,6 +153,8 @@
     }
     if (!this->Parser->done())
       return;
+    // What follows the request waits in the kernel for the replica.
+    this->Host->pauseReading();
     CallerRequest Request = this->Parser->releaseRequest();
     this->Parser.reset();
     uint64_t Hash = 0;
@@ -164,9 +185,12 @@
     if (Result == ConnectResult::Connected) {
       this->Hooks.OnReached(this->Target);
       this->IsEstablished = true;
+      this->Held.setEnd(nullptr);
       this->answer(TunnelAnswer::Connected);
       if (!this->Buffer.empty())
         this->forward(std::exchange(this->Buffer, ""), /*ToReplica=*/true);
+      if (this->Replica->unsentBytes() <= MaxUnsentBytes)
+        this->Host->resumeReading();
       return;
     }
     this->Hooks.OnUnreached(this->Target, this->StartedAt, false);
@@ -260,6 +284,7 @@
   RemoveCallback Remove;
   std::unique_ptr<RequestParser> Parser;
   std::string Buffer;
+  HeldBytes Held;
   PathTarget Target;
   Instant StartedAt;
   Instant LastByteAt;
