Count the connections of the metrics listener

What callers saw: large bodies sent to the port of the metrics ended the process for want of memory.

Cause: the program made this listener without the account of held bytes and with the built-in limits.

Why it works: the daemon makes it like its other listeners.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -213,6 +213,9 @@
 
   /// Listens on all addresses and starts to read the store.
   absl::Status start();
+  /// Serves the metrics, after start(). Their connections count like those of
+  /// the other listeners.
+  absl::Status serveMetrics(const Endpoint &ListenAddress);
   /// Shuts down gracefully: announces that the host is leaving, finishes the
   /// requests in progress, then calls \p Done.
   void stop(std::function<void()> Done);
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -114,6 +114,18 @@
 
 absl::Status EdgeDaemon::start() { return this->Shared->start(); }
 
+absl::Status EdgeDaemon::serveMetrics(const Endpoint &ListenAddress) {
+  State &Self = *this->Shared;
+  Self.MetricsListener = Self.makeServiceListener(
+      [this](const CallerRequest &, const ResponderPtr &Responder) {
+        HttpHead Head;
+        Head.Status = 200;
+        Head.Headers.emplace_back("Content-Type", "text/plain");
+        Responder->sendWhole(Head, this->metricsText(), false);
+      });
+  return Self.MetricsListener->listen(ListenAddress);
+}
+
 void EdgeDaemon::stop(std::function<void()> Done) {
   auto Self = this->Shared;
   if (Self->Leaving)
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -165,6 +165,18 @@
       std::move(Handler), this->Relayer->heldMemory());
 }
 
+std::unique_ptr<HttpListener>
+EdgeDaemon::State::makeServiceListener(RequestHandler Handler) {
+  return std::make_unique<HttpListener>(
+      this->Loop, this->Timer,
+      [this] {
+        CallerLimits Limits =
+            this->Table ? this->Table->Limits : CallerLimits();
+        return Limits;
+      },
+      std::move(Handler), this->Relayer->heldMemory());
+}
+
 absl::Status EdgeDaemon::State::start() {
   RolloutController::Ports Ports;
   Ports.WriteState = [this](const RolloutOrder &Order, RolloutState State,
@@ -206,15 +218,15 @@
       this->makeListener([this](CallerRequest Request, ResponderPtr Responder) {
         this->Relayer->handle(std::move(Request), std::move(Responder));
       });
-  this->ReadyListener = this->makeListener(
+  this->ReadyListener = this->makeServiceListener(
       [this](const CallerRequest &Request, const ResponderPtr &Responder) {
         this->serveReady(Request, Responder);
       });
-  this->DirectoryListener = this->makeListener(
+  this->DirectoryListener = this->makeServiceListener(
       [this](const CallerRequest &Request, const ResponderPtr &Responder) {
         this->serveDirectory(Request, Responder);
       });
-  this->PeerListener = this->makeListener(
+  this->PeerListener = this->makeServiceListener(
       [this](const CallerRequest &Request, const ResponderPtr &Responder) {
         this->servePeers(Request, Responder);
       });
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -97,7 +97,10 @@
   void resumeTableFollowers();
   bool isStoreAvailable() const;
   void detectHostPause();
+  /// A listener with the operators' limits.
   std::unique_ptr<HttpListener> makeListener(RequestHandler Handler);
+  /// A listener for the platform and other hosts, whose bodies are small.
+  std::unique_ptr<HttpListener> makeServiceListener(RequestHandler Handler);
   ExchangeSettings exchangeSettings() const;
   ExchangeHooks exchangeHooks();
   void addQuarantineHooks(ExchangeHooks &Hooks);
@@ -189,6 +192,7 @@
   std::unique_ptr<HttpListener> ReadyListener;
   std::unique_ptr<HttpListener> DirectoryListener;
   std::unique_ptr<HttpListener> PeerListener;
+  std::unique_ptr<HttpListener> MetricsListener;
   RouteTablePtr Table;
   RecordCache Cache;
   std::set<std::string> SkippedKeys;
--- a/src/tools/edged/main.cpp
+++ b/src/tools/edged/main.cpp
@@ -112,15 +112,7 @@
       : Opts(std::move(Opts)), Timer(Loop), Config(Config),
         Daemon(Loop, Timer, Config, this->makePlatform(),
                edgeSettings(this->Opts)),
-        Signals(Loop, SIGTERM, SIGINT, SIGHUP),
-        MetricsServer(
-            Loop, Timer, [] { return CallerLimits(); },
-            [this](const CallerRequest &, const ResponderPtr &Responder) {
-              HttpHead Head;
-              Head.Status = 200;
-              Head.Headers.emplace_back("Content-Type", "text/plain");
-              Responder->sendWhole(Head, this->Daemon.metricsText(), false);
-            }) {}
+        Signals(Loop, SIGTERM, SIGINT, SIGHUP) {}
 
   int run() {
     Json::Value Fields(Json::objectValue);
@@ -129,8 +121,8 @@
     logEvent(LogLevel::Info, "started", Fields);
     absl::Status Started = this->Daemon.start();
     if (this->Opts.MetricsPort != 0)
-      Started.Update(this->MetricsServer.listen(
-          {this->Config.Ip, this->Opts.MetricsPort}));
+      Started.Update(
+          this->Daemon.serveMetrics({this->Config.Ip, this->Opts.MetricsPort}));
     if (!Started.ok()) {
       std::cerr << Started.message() << "\n";
       return ExitListen;
@@ -194,7 +186,6 @@
   HostConfig Config;
   EdgeDaemon Daemon;
   boost::asio::signal_set Signals;
-  HttpListener MetricsServer;
   std::pair<int64_t, int64_t> SettingsStamp;
 };
 
