Limit bodies on the listeners for the platform and other hosts

What callers saw: one request with 4 MiB of small JSON values to the control plane ended the process for want of memory.

Evidence: 'Hostile explanations of many small values' failed on the code before (peak 213 MB on a host of 64 MB).

Why it works: these listeners take at most 64 KiB of body (413 beyond it); the questions of berylramp-inspect have some kilobytes.

--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -21,6 +21,11 @@
 /// Time between digests of the prompts that this host sent.
 constexpr absl::Duration WorkDigestInterval = absl::Milliseconds(50);
 
+/// Maximum body of a request to the listeners for the platform and other hosts.
+/// Only questions of berylramp-inspect have one, of at most some kilobytes. Its
+/// JSON takes a hundred times its bytes once it is parsed.
+constexpr int64_t MaxServiceBodyBytes = 64LL << 10;
+
 /// Fraction of the host's memory that one complete answer may take.
 constexpr double MaxAnswerFraction = 1.0 / 64;
 /// Fraction of the host's memory that waiting requests may take.
@@ -172,6 +177,7 @@
       [this] {
         CallerLimits Limits =
             this->Table ? this->Table->Limits : CallerLimits();
+        Limits.BodyBytes = std::min(Limits.BodyBytes, MaxServiceBodyBytes);
         return Limits;
       },
       std::move(Handler), this->Relayer->heldMemory());
