Bound accepted connections by the host's descriptors

What callers saw: while a client held some hundreds of connections open, the host answered nobody on any port.

Cause: the number of accepted connections was not bounded. Without descriptors, accepting failed and was repeated at once, and no connection to a replica could be opened.

A failed accept is repeated after 100 ms.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -68,6 +68,8 @@
   Endpoint Store;
   /// Memory that the host's process may use.
   int64_t MemoryBytes = 128LL << 20;
+  /// Sockets that it may have open.
+  int64_t MaxSockets = 3900;
   HostBounds Bounds;
 };
 
--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -167,16 +167,19 @@
 };
 
 class HeldMemory;
+class ConnectionLimit;
 
 /// Accepts connections on one address and passes complete requests to a
 /// handler.
 class HttpListener {
 public:
   /// \p Limits is evaluated again for each request. Without \p Memory, the
-  /// bytes of all connections together are not bounded.
+  /// bytes of all connections together are not bounded; without
+  /// \p Connections, their number is not.
   HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
                std::function<CallerLimits()> Limits, RequestHandler Handler,
-               std::shared_ptr<HeldMemory> Memory = nullptr);
+               std::shared_ptr<HeldMemory> Memory = nullptr,
+               std::shared_ptr<ConnectionLimit> Connections = nullptr);
   // NOLINTNEXTLINE(bugprone-exception-escape)
   ~HttpListener();
 
@@ -291,6 +294,9 @@
   size_t MaxAnswerBytes = 2U << 20;
   /// Limits of the bytes that are held for callers, replicas and other hosts.
   MemoryBounds Memory;
+  /// Maximum accepted connections of all listeners, and of the tunnel server.
+  size_t MaxConnections = 2000;
+  size_t MaxTunnels = 500;
   /// Maximum bytes of one event of a stream.
   size_t MaxEventBytes = 256U << 10;
   /// Ratio of requests to slots above which new requests are refused.
@@ -391,6 +397,8 @@
   size_t activeRequests() const;
   /// Counts the bytes that this exchange and its listeners hold.
   std::shared_ptr<HeldMemory> heldMemory() const;
+  /// Bounds the connections of this exchange's listeners.
+  std::shared_ptr<ConnectionLimit> connectionLimit() const;
   const MemoryAccount &memoryAccount() const;
   /// Metrics of the choice of engines.
   std::vector<Gauge> engineGauges() const;
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -31,6 +31,12 @@
 /// Fraction of the host's memory that waiting requests may take.
 constexpr double MaxWaitingFraction = 1.0 / 16;
 
+/// Fractions of the host's sockets that accepted connections and the tunnels of
+/// other hosts, of two sockets each, may take. The rest is for connections to
+/// replicas, the store and other hosts.
+constexpr double ConnectionFraction = 0.5;
+constexpr double TunnelFraction = 0.125;
+
 /// Interval of the reads of replica entries as a fraction of the drain timeout.
 /// The rest covers the transfer to the other hosts and one failed read.
 constexpr double ReadIntervalFraction = 0.24;
@@ -69,6 +75,9 @@
   auto Memory = static_cast<double>(this->Config.MemoryBytes);
   Result.MaxAnswerBytes = static_cast<size_t>(Memory * MaxAnswerFraction);
   Result.Memory = memoryBounds(this->Config.MemoryBytes);
+  auto Sockets = static_cast<double>(this->Config.MaxSockets);
+  Result.MaxConnections = static_cast<size_t>(Sockets * ConnectionFraction);
+  Result.MaxTunnels = static_cast<size_t>(Sockets * TunnelFraction);
   Result.Dispatch.MaxWaitingBytes =
       static_cast<size_t>(Memory * MaxWaitingFraction);
   return Result;
@@ -167,7 +176,8 @@
   return std::make_unique<HttpListener>(
       this->Loop, this->Timer,
       [this] { return this->Table ? this->Table->Limits : CallerLimits(); },
-      std::move(Handler), this->Relayer->heldMemory());
+      std::move(Handler), this->Relayer->heldMemory(),
+      this->Relayer->connectionLimit());
 }
 
 std::unique_ptr<HttpListener>
@@ -180,7 +190,8 @@
         Limits.BodyBytes = std::min(Limits.BodyBytes, MaxServiceBodyBytes);
         return Limits;
       },
-      std::move(Handler), this->Relayer->heldMemory());
+      std::move(Handler), this->Relayer->heldMemory(),
+      this->Relayer->connectionLimit());
 }
 
 absl::Status EdgeDaemon::State::start() {
--- a/src/exchange/caller_connection.cpp
+++ b/src/exchange/caller_connection.cpp
@@ -260,6 +260,13 @@
 }
 
 void CallerConnection::setMayEnd(bool MayEnd) {
+  if (MayEnd)
+    this->Slot.startWaiting([Weak = this->weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->closeNow();
+    });
+  else
+    this->Slot.stopWaiting();
   for (HeldBytes *Held : {&this->Connection, &this->Input}) {
     if (!MayEnd) {
       Held->setEnd(nullptr);
@@ -415,6 +422,7 @@
   this->Parser.reset();
   this->Input.set(0);
   this->Connection.set(0);
+  this->Slot.release();
   auto Self = this->shared_from_this();
   std::function<void()> Call;
   std::swap(Call, this->DisconnectHandler);
--- a/src/exchange/caller_connection.h
+++ b/src/exchange/caller_connection.h
@@ -9,6 +9,7 @@
 
 #include "cancellable_timer.h"
 #include "channel.h"
+#include "connection_limit.h"
 #include "http_parse.h"
 #include <boost/asio/ip/tcp.hpp>
 
@@ -25,6 +26,7 @@
     std::function<void(std::shared_ptr<ChannelListener>)> RemoveConnection;
     RequestHandler Handler;
     HeldMemoryPtr Memory;
+    ConnectionLimitPtr Connections;
     TimerService *Timer = nullptr;
   };
 
@@ -34,6 +36,7 @@
         TimeoutTimer(Loop), Hooks(std::move(Hooks)),
         Output(this->Transport->countUnsent(this->Hooks.Memory,
                                             HeldKind::CallerOutput)),
+        Slot(this->Hooks.Connections),
         Connection(this->Hooks.Memory, HeldKind::Connection),
         Input(this->Hooks.Memory, HeldKind::CallerInput) {}
 
@@ -82,6 +85,7 @@
   CancellableTimer TimeoutTimer;
   ListenerHooks Hooks;
   HeldBytes &Output;
+  ConnectionSlot Slot;
   HeldBytes Connection;
   HeldBytes Input;
   /// Memory of the request in progress.
--- a/src/exchange/core.h
+++ b/src/exchange/core.h
@@ -3,6 +3,7 @@
 #ifndef BERYLRAMP_EXCHANGE_CORE_H
 #define BERYLRAMP_EXCHANGE_CORE_H
 
+#include "connection_limit.h"
 #include "dispatch_controller.h"
 #include "engine_stats.h"
 #include "held_memory.h"
@@ -25,6 +26,8 @@
         Pool(this->Settings.MaxIdleTime),
         Memory(std::make_shared<HeldMemory>(Loop, Timer, Counters,
                                             this->Settings.Memory)),
+        Connections(
+            std::make_shared<ConnectionLimit>(this->Settings.MaxConnections)),
         Paths(std::make_shared<PathController>(Loop, Timer, Registry)),
         Dispatch(std::make_unique<DispatchController>(
             Loop, Timer, this->Settings.Dispatch)) {
@@ -56,6 +59,7 @@
   ExchangeHooks Hooks;
   UpstreamPool Pool;
   HeldMemoryPtr Memory;
+  ConnectionLimitPtr Connections;
   std::shared_ptr<PathController> Paths;
   std::unique_ptr<DispatchController> Dispatch;
   std::map<ServiceId, RetryBudget> Budgets;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -43,6 +43,8 @@
       Paths->explainRefusal(Target, Done);
   };
   Server.Memory = this->Shared->Memory;
+  Server.Connections =
+      std::make_shared<ConnectionLimit>(this->Shared->Settings.MaxTunnels);
   this->Tunnels =
       std::make_unique<TunnelServer>(Loop, Timer, std::move(Server));
 }
@@ -74,6 +76,10 @@
 
 HeldMemoryPtr Exchange::heldMemory() const { return this->Shared->Memory; }
 
+ConnectionLimitPtr Exchange::connectionLimit() const {
+  return this->Shared->Connections;
+}
+
 const MemoryAccount &Exchange::memoryAccount() const {
   return this->Shared->Memory->account();
 }
--- a/src/exchange/listener.cpp
+++ b/src/exchange/listener.cpp
@@ -10,6 +10,10 @@
 
 using boost::asio::ip::tcp;
 
+/// Time until the next attempt after a connection could not be accepted, for
+/// want of descriptors for example.
+constexpr absl::Duration AcceptRetryDelay = absl::Milliseconds(100);
+
 /// Connections that may wait to be accepted; sized for the burst of reconnects
 /// after another host has failed.
 constexpr int AcceptBacklog = 1024;
@@ -18,15 +22,19 @@
 
 struct HttpListener::State : std::enable_shared_from_this<State> {
   State(boost::asio::io_context &Loop, TimerService &Timer)
-      : Acceptor(Loop), Loop(Loop), Timer(Timer) {}
+      : Acceptor(Loop), RetryTimer(Loop), Loop(Loop), Timer(Timer) {}
   void accept();
+  void open(tcp::socket Socket);
+  void retryAccept();
 
   tcp::acceptor Acceptor;
+  CancellableTimer RetryTimer;
   boost::asio::io_context &Loop;
   TimerService &Timer;
   std::function<CallerLimits()> Limits;
   RequestHandler Handler;
   HeldMemoryPtr Memory;
+  ConnectionLimitPtr Limit;
   bool Draining = false;
   std::unordered_set<std::shared_ptr<ChannelListener>> Connections;
 };
@@ -37,38 +45,61 @@
       [Self](const boost::system::error_code &Error, tcp::socket Socket) {
         if (!Self->Acceptor.is_open())
           return;
-        if (!Error) {
-          CallerConnection::ListenerHooks Hooks;
-          Hooks.Limits = Self->Limits;
-          Hooks.Handler = Self->Handler;
-          Hooks.Timer = &Self->Timer;
-          Hooks.Memory = Self->Memory;
-          std::weak_ptr<State> Weak = Self;
-          Hooks.Draining = [Weak] {
-            auto Listener = Weak.lock();
-            return !Listener || Listener->Draining;
-          };
-          Hooks.RemoveConnection =
-              [Weak](const std::shared_ptr<ChannelListener> &Connection) {
-                if (auto Listener = Weak.lock())
-                  Listener->Connections.erase(Connection);
-              };
-          auto NewConnection = std::make_shared<CallerConnection>(
-              Self->Loop, std::move(Socket), std::move(Hooks));
-          Self->Connections.insert(NewConnection);
-          NewConnection->start();
+        if (Error) {
+          Self->retryAccept();
+          return;
         }
+        Self->open(std::move(Socket));
         Self->accept();
       });
 }
 
+void HttpListener::State::retryAccept() {
+  // At once, the loop would do nothing else while the descriptors are used up.
+  if (this->Limit != nullptr)
+    this->Limit->endLongestWaiting();
+  this->RetryTimer.set(AcceptRetryDelay, [Weak = this->weak_from_this()] {
+    auto Self = Weak.lock();
+    if (Self && Self->Acceptor.is_open())
+      Self->accept();
+  });
+}
+
+void HttpListener::State::open(tcp::socket Socket) {
+  // Without room, the socket is closed.
+  if (this->Limit != nullptr && !this->Limit->makeRoom())
+    return;
+  CallerConnection::ListenerHooks Hooks;
+  Hooks.Limits = this->Limits;
+  Hooks.Handler = this->Handler;
+  Hooks.Timer = &this->Timer;
+  Hooks.Memory = this->Memory;
+  Hooks.Connections = this->Limit;
+  std::weak_ptr<State> Weak = this->weak_from_this();
+  Hooks.Draining = [Weak] {
+    auto Listener = Weak.lock();
+    return !Listener || Listener->Draining;
+  };
+  Hooks.RemoveConnection =
+      [Weak](const std::shared_ptr<ChannelListener> &Connection) {
+        if (auto Listener = Weak.lock())
+          Listener->Connections.erase(Connection);
+      };
+  auto NewConnection = std::make_shared<CallerConnection>(
+      this->Loop, std::move(Socket), std::move(Hooks));
+  this->Connections.insert(NewConnection);
+  NewConnection->start();
+}
+
 HttpListener::HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
                            std::function<CallerLimits()> Limits,
-                           RequestHandler Handler, HeldMemoryPtr Memory)
+                           RequestHandler Handler, HeldMemoryPtr Memory,
+                           ConnectionLimitPtr Connections)
     : Shared(std::make_shared<State>(Loop, Timer)) {
   this->Shared->Limits = std::move(Limits);
   this->Shared->Handler = std::move(Handler);
   this->Shared->Memory = std::move(Memory);
+  this->Shared->Limit = std::move(Connections);
 }
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
@@ -87,6 +118,7 @@
 void HttpListener::close() {
   boost::system::error_code Ignored;
   this->Shared->Acceptor.close(Ignored);
+  this->Shared->RetryTimer.cancel();
   auto Open = this->Shared->Connections;
   for (const auto &OpenConnection : Open)
     static_cast<CallerConnection &>(*OpenConnection).closeNow();
--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -21,8 +21,8 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr int AcceptBacklog = 256;
-/// Each tunnel takes two file descriptors.
-constexpr size_t MaxTunnels = 1000;
+/// Time until the next attempt after a connection could not be accepted.
+constexpr absl::Duration AcceptRetryDelay = absl::Milliseconds(100);
 constexpr size_t MaxUnsentBytes = 64U << 10;
 /// Limit on the header of a request for a tunnel, which other hosts send. It
 /// has no body.
@@ -93,21 +93,22 @@
         ReplicaSide(std::make_shared<TunnelSide>(*this, false)),
         TimeoutTimer(Loop), Remove(std::move(Remove)),
         Parser(std::make_unique<RequestParser>(requestLimits())),
-        Held(Hooks.Memory, HeldKind::Connection) {}
+        Slot(Hooks.Connections), Held(Hooks.Memory, HeldKind::Connection) {}
 
-  void start(bool HasRoom) {
-    this->IsRefused = !HasRoom;
+  void start() {
     for (const auto &Side : {this->Host, this->Replica})
       Side->countUnsent(this->Hooks.Memory, HeldKind::Tunnel)
           .setEnd([Weak = this->weak_from_this()] {
             if (auto Self = Weak.lock())
               Self->endSlow();
           });
-    this->Held.set(TunnelBytes);
-    this->Held.setEnd([Weak = this->weak_from_this()] {
+    auto End = [Weak = this->weak_from_this()] {
       if (auto Self = Weak.lock())
         Self->end();
-    });
+    };
+    this->Held.set(TunnelBytes);
+    this->Held.setEnd(End);
+    this->Slot.startWaiting(End);
     this->Host->setListener(this->HostSide);
     this->startTimeout(RequestTimeout, [](Tunnel &Self) { Self.end(); });
     this->Host->startAccepted();
@@ -119,6 +120,7 @@
     this->TimeoutTimer.cancel();
     this->Host->close();
     this->Replica->close();
+    this->Slot.release();
     this->Remove(Self);
   }
 
@@ -162,7 +164,7 @@
     if (Request.Method == "CONNECT" &&
         absl::SimpleHexAtoi(Request.Target, &Hash))
       Found = this->Hooks.Find(Hash);
-    if (!Found || this->IsRefused) {
+    if (!Found) {
       this->answer(TunnelAnswer::Unavailable);
       return;
     }
@@ -186,6 +188,7 @@
       this->Hooks.OnReached(this->Target);
       this->IsEstablished = true;
       this->Held.setEnd(nullptr);
+      this->Slot.stopWaiting();
       this->answer(TunnelAnswer::Connected);
       if (!this->Buffer.empty())
         this->forward(std::exchange(this->Buffer, ""), /*ToReplica=*/true);
@@ -284,11 +287,11 @@
   RemoveCallback Remove;
   std::unique_ptr<RequestParser> Parser;
   std::string Buffer;
+  ConnectionSlot Slot;
   HeldBytes Held;
   PathTarget Target;
   Instant StartedAt;
   Instant LastByteAt;
-  bool IsRefused = false;
   bool IsAnswered = false;
   bool IsEstablished = false;
   /// The other host asked for chunks.
@@ -346,7 +349,8 @@
 
 struct TunnelServer::State : std::enable_shared_from_this<State> {
   State(boost::asio::io_context &Loop, TimerService &Timer, TunnelHooks Hooks)
-      : Loop(Loop), Timer(Timer), Hooks(std::move(Hooks)), Acceptor(Loop) {}
+      : Loop(Loop), Timer(Timer), Hooks(std::move(Hooks)), Acceptor(Loop),
+        RetryTimer(Loop) {}
 
   void accept() {
     auto Self = this->shared_from_this();
@@ -354,26 +358,46 @@
         [Self](const ErrorCode &Error, tcp::socket Socket) {
           if (!Self->Acceptor.is_open())
             return;
-          if (!Error) {
-            std::weak_ptr<State> Weak = Self;
-            auto Opened = std::make_shared<Tunnel>(
-                Self->Loop, Self->Timer, Self->Hooks, std::move(Socket),
-                [Weak](const std::shared_ptr<Tunnel> &Ended) {
-                  if (auto Server = Weak.lock())
-                    Server->Tunnels.erase(Ended);
-                });
-            bool HasRoom = Self->Tunnels.size() < MaxTunnels;
-            Self->Tunnels.insert(Opened);
-            Opened->start(HasRoom);
+          if (Error) {
+            Self->retryAccept();
+            return;
           }
+          Self->open(std::move(Socket));
           Self->accept();
         });
   }
 
+  void retryAccept() {
+    if (this->Hooks.Connections != nullptr)
+      this->Hooks.Connections->endLongestWaiting();
+    this->RetryTimer.set(AcceptRetryDelay, [Weak = this->weak_from_this()] {
+      auto Self = Weak.lock();
+      if (Self && Self->Acceptor.is_open())
+        Self->accept();
+    });
+  }
+
+  void open(tcp::socket Socket) {
+    // Without room, the socket is closed.
+    if (this->Hooks.Connections != nullptr &&
+        !this->Hooks.Connections->makeRoom())
+      return;
+    std::weak_ptr<State> Weak = this->weak_from_this();
+    auto Opened = std::make_shared<Tunnel>(
+        this->Loop, this->Timer, this->Hooks, std::move(Socket),
+        [Weak](const std::shared_ptr<Tunnel> &Ended) {
+          if (auto Server = Weak.lock())
+            Server->Tunnels.erase(Ended);
+        });
+    this->Tunnels.insert(Opened);
+    Opened->start();
+  }
+
   boost::asio::io_context &Loop;
   TimerService &Timer;
   TunnelHooks Hooks;
   tcp::acceptor Acceptor;
+  CancellableTimer RetryTimer;
   std::set<std::shared_ptr<Tunnel>> Tunnels;
 };
 
@@ -395,6 +419,7 @@
 void TunnelServer::close() {
   ErrorCode Ignored;
   this->Shared->Acceptor.close(Ignored);
+  this->Shared->RetryTimer.cancel();
   auto Open = this->Shared->Tunnels;
   for (const auto &OpenTunnel : Open)
     OpenTunnel->end();
--- a/src/exchange/tunnel.h
+++ b/src/exchange/tunnel.h
@@ -17,6 +17,7 @@
 
 #include "absl/status/status.h"
 #include "berylramp/exchange.h"
+#include "connection_limit.h"
 #include "held_memory.h"
 #include "http_parse.h"
 #include <boost/asio/ip/tcp.hpp>
@@ -78,6 +79,7 @@
   /// Finds out what a refused connection to the replica shows.
   std::function<void(const PathTarget &, TunnelCallback)> ExplainRefusal;
   HeldMemoryPtr Memory;
+  ConnectionLimitPtr Connections;
 };
 
 /// Forwards bytes between other hosts and replicas.
