Take a pipelined request once earlier answers are read

What callers saw: nothing yet. A client that pipelines requests and reads no answer makes the host build and hold an answer for each.

Cause: the next request was taken as soon as the answer before was queued.

Evidence: 'Pipelined requests wait until their answers are read' failed on the code before: all 60 requests of one connection were handled, 256 KB of answer each.

Why it works: above 64 KB of unsent answers the connection reads nothing and goes on when they are sent. Besides, a complete body needs room for the copy that a replica is sent.

--- a/src/exchange/caller_connection.cpp
+++ b/src/exchange/caller_connection.cpp
@@ -17,11 +17,14 @@
 
 /// Bytes of pipelined requests to buffer while a request is in progress.
 constexpr size_t MaxBufferedBytes = 65536;
+/// Unsent bytes of answers above which the next pipelined request waits. A
+/// request is much smaller than its answer may be.
+constexpr size_t MaxUnsentAnswers = 64U << 10;
 /// Time for which the rest of a refused body is received and dropped, so that
 /// the caller reads the refusal.
 constexpr absl::Duration DiscardTime = absl::Seconds(2);
 /// A body is counted twice while it is sent to a replica.
-constexpr int64_t BodyCopies = 2;
+constexpr size_t BodyCopies = 2;
 /// Memory of an open connection that has received nothing.
 constexpr int64_t ConnectionBytes = 3 << 10;
 /// Time after which a refused caller finds room: the slowest of the others have
@@ -185,7 +188,7 @@
 bool CallerConnection::admits(size_t Bytes) const {
   const HeldMemoryPtr &Memory = this->Hooks.Memory;
   return Memory == nullptr ||
-         Memory->account().admits(static_cast<int64_t>(Bytes) * BodyCopies);
+         Memory->account().admits(static_cast<int64_t>(Bytes));
 }
 
 size_t CallerConnection::maxUnsentBytes() const {
@@ -312,7 +315,10 @@
         std::max(this->Parser->announcedBytes(), this->Parser->bodyBytes()) -
         this->Parser->bodyBytes();
   this->updateInput();
-  if (HasBody && !this->admits(Missing)) {
+  // A complete body is about to be copied for a replica.
+  size_t Needed =
+      this->Parser->done() ? this->Parser->bodyBytes() : Missing * BodyCopies;
+  if (HasBody && !this->admits(Needed)) {
     this->refuseBody();
     return;
   }
@@ -378,6 +384,22 @@
     return;
   }
   this->awaitRequest();
+  if (this->Transport->unsentBytes() > MaxUnsentAnswers) {
+    this->AwaitsReader = true;
+    this->Transport->pauseReading();
+    return;
+  }
+  this->takeNextRequest();
+}
+
+void CallerConnection::onDrained() {
+  if (!this->AwaitsReader)
+    return;
+  this->AwaitsReader = false;
+  this->takeNextRequest();
+}
+
+void CallerConnection::takeNextRequest() {
   this->Transport->resumeReading();
   // Deferred to avoid recursion: a pipelined request may be answered
   // synchronously.
--- a/src/exchange/caller_connection.h
+++ b/src/exchange/caller_connection.h
@@ -51,6 +51,7 @@
   void beginStream(const HttpHead &Head) override;
   void sendChunk(std::string Chunk) override;
   void endStream() override;
+  void onDrained() override;
   void abort() override;
   void onCallerDisconnect(std::function<void()> Call) override;
 
@@ -76,6 +77,7 @@
   void startRequest(CallerRequest Request, bool MayKeepAlive);
   void rejectMalformed(ParseFault Fault);
   void finish(bool Close);
+  void takeNextRequest();
   void startTimeout(absl::Duration Timeout);
   void onTimeout();
   void onDisconnected();
@@ -101,6 +103,8 @@
   bool CloseAfterStream = false;
   /// The last answer is a stream.
   bool IsStream = false;
+  /// The next request waits until the caller has read earlier answers.
+  bool AwaitsReader = false;
   /// Received bytes are dropped until the connection closes.
   bool Discards = false;
 };
--- a/test/slow_reader_test.cpp
+++ b/test/slow_reader_test.cpp
@@ -203,6 +203,35 @@
   CHECK(this->account().of(HeldKind::CallerOutput) == 0);
 }
 
+TEST_CASE_METHOD(HeldFixture,
+                 "Pipelined requests wait until their answers are read") {
+  constexpr size_t AnswerBytes = 256U << 10;
+  constexpr size_t Count = 60;
+  SlowCaller Slow(this->Loop, this->address());
+  std::string Pipeline;
+  for (size_t Index = 0; Index < Count; ++Index)
+    Pipeline += GetRequest;
+  Slow.send(Pipeline);
+  auto AnswerAll = [&] {
+    for (const ResponderPtr &Responder : std::exchange(this->Responders, {}))
+      Responder->sendWhole(okHead(), std::string(AnswerBytes, 'x'), false);
+  };
+  for (int Round = 0; Round < 500; ++Round) {
+    this->Loop.restart();
+    this->Loop.run_for(std::chrono::milliseconds(1));
+    AnswerAll();
+  }
+  CHECK(this->Requests.size() < Count / 2);
+  CHECK(this->account().of(HeldKind::CallerOutput) < 3 * int64_t{AnswerBytes});
+  // The caller that reads after all gets all answers.
+  CHECK(this->runUntil([&] {
+    AnswerAll();
+    Slow.read();
+    return Slow.Received.size() >= Count * AnswerBytes;
+  }));
+  CHECK(this->Requests.size() == Count);
+}
+
 TEST_CASE_METHOD(HeldFixture,
                  "A body is refused at once when memory is short") {
   HeldBytes Others(this->Memory, HeldKind::Answer);
