Move the listeners into a library of their own

The parts that accept connections, parse requests and count what they hold (src/serving, include/berylramp/serving.h) know nothing of upstreams, so that berylramp-entryd can use them. What changed in them is what it needs: a body for refusals that no handler sees, a stream that ends without its last chunk, and a read buffer a thread.

--- a/include/berylramp/exchange.h
+++ b/include/berylramp/exchange.h
@@ -1,9 +1,9 @@
 //===- exchange.h - Event-driven HTTP/1.1 on one loop -----------*- C++ -*-===//
 //
-// Non-blocking connections from callers, connections to upstreams and calls to
-// other services, all on one Boost.Asio event loop. An Exchange relays callers'
-// requests to replicas. The route table, the upstream registry and the hooks
-// passed to it determine its routing decisions.
+// Connections to upstreams and calls to other services, on the event loop of
+// the listeners. An Exchange relays callers' requests to replicas. The route
+// table, the upstream registry and the hooks passed to it determine its routing
+// decisions.
 //
 //===----------------------------------------------------------------------===//
 
@@ -21,12 +21,11 @@
 #include "berylramp/quarantine.h"
 #include "berylramp/rollout.h"
 #include "berylramp/routes.h"
+#include "berylramp/serving.h"
 #include "berylramp/timer.h"
 #include "berylramp/upstreams.h"
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,174 +35,6 @@
 
 namespace berylramp {
 
-using HeaderField = std::pair<std::string, std::string>;
-
-/// The first field of \p Fields named \p Name in any case, or null.
-const std::string *findHeader(const std::vector<HeaderField> &Fields,
-                              absl::string_view Name);
-
-/// The header fields of a request, in their order. Names have no colon, values
-/// no line break.
-class HeaderBlock {
-public:
-  struct Field {
-    absl::string_view Name;
-    absl::string_view Value;
-    /// The whole field with the line break at its end.
-    absl::string_view Line;
-  };
-  class Iterator {
-  public:
-    explicit Iterator(absl::string_view Rest) : Rest(Rest) { this->read(); }
-    const Field &operator*() const { return this->Current; }
-    Iterator &operator++() {
-      this->Rest.remove_prefix(this->Current.Line.size());
-      this->read();
-      return *this;
-    }
-    bool operator!=(const Iterator &Other) const {
-      return this->Rest.size() != Other.Rest.size();
-    }
-
-  private:
-    void read();
-    absl::string_view Rest;
-    Field Current;
-  };
-
-  HeaderBlock() = default;
-  HeaderBlock(
-      std::initializer_list<std::pair<absl::string_view, absl::string_view>>
-          Fields);
-  void add(absl::string_view Name, absl::string_view Value);
-  Iterator begin() const { return Iterator(this->Text); }
-  Iterator end() const { return Iterator(absl::string_view()); }
-  /// Bytes of memory that the fields take.
-  size_t memory() const { return this->Text.capacity(); }
-  /// Gives back memory that the fields do not need.
-  void shrink() { this->Text.shrink_to_fit(); }
-
-private:
-  std::string Text;
-};
-
-/// The value of the first field named \p Name in any case.
-std::optional<absl::string_view> findHeader(const HeaderBlock &Fields,
-                                            absl::string_view Name);
-
-/// A complete request of a caller.
-struct CallerRequest {
-  std::string Method;
-  /// Path and query exactly as in the request line.
-  std::string Target;
-  HeaderBlock Headers;
-  std::string Body;
-  Instant ArrivedAt;
-  /// The body was not received, because the host holds too many bytes.
-  bool BodyRefused = false;
-};
-
-/// Bytes of memory that the request takes.
-size_t memoryOf(const CallerRequest &Request);
-
-/// Status line and header of an answer.
-struct HttpHead {
-  int Status = 0;
-  std::string Reason;
-  std::vector<HeaderField> Headers;
-};
-
-/// Answers one request. The methods may be called only from the loop's thread.
-class Responder {
-public:
-  virtual ~Responder() = default;
-  /// States whose bytes the connection holds.
-  virtual void identify(uint64_t Owner, const std::string &RequestId) {}
-  /// Sends a complete answer and closes the connection afterwards if
-  /// \p CloseAfter is set.
-  virtual void sendWhole(const HttpHead &Head, const std::string &Body,
-                         bool CloseAfter) = 0;
-  virtual void beginStream(const HttpHead &Head) = 0;
-  virtual void sendChunk(std::string Chunk) = 0;
-  virtual void endStream() = 0;
-  /// Resets the connection so that the caller cannot mistake a truncated answer
-  /// for a complete one.
-  virtual void abort() = 0;
-  /// Registers \p Call, which runs at most once: when the caller closes the
-  /// connection before the answer has ended.
-  virtual void onCallerDisconnect(std::function<void()> Call) = 0;
-};
-
-using ResponderPtr = std::shared_ptr<Responder>;
-using RequestHandler = std::function<void(CallerRequest, ResponderPtr)>;
-
-/// Timer service that runs its callbacks on the event loop.
-class LoopTimer : public TimerService {
-public:
-  explicit LoopTimer(boost::asio::io_context &Loop);
-  ~LoopTimer() override;
-
-  Instant now() const override;
-  absl::Time wallNow() const override;
-  Subscription schedulePeriodic(absl::Duration Period, Callback Call) override;
-  void cancel(Subscription Id) override;
-  /// Runs \p Call once after \p Delay unless it is cancelled.
-  Subscription after(absl::Duration Delay, Callback Call);
-
-private:
-  struct Entry {
-    explicit Entry(boost::asio::io_context &Loop) : DelayTimer(Loop) {}
-    boost::asio::steady_timer DelayTimer;
-    absl::Duration Period;
-    bool Repeats = true;
-    Callback Call;
-  };
-  void arm(Subscription Id);
-
-  boost::asio::io_context &Loop;
-  std::map<Subscription, std::unique_ptr<Entry>> Entries;
-  Subscription NextId = 1;
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-};
-
-class HeldMemory;
-class ConnectionLimit;
-
-/// Accepts connections on one address and passes complete requests to a
-/// handler.
-class HttpListener {
-public:
-  /// \p Limits is evaluated again for each request. Without \p Memory, the
-  /// bytes of all connections together are not bounded; without
-  /// \p Connections, their number is not.
-  HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
-               std::function<CallerLimits()> Limits, RequestHandler Handler,
-               std::shared_ptr<HeldMemory> Memory = nullptr,
-               std::shared_ptr<ConnectionLimit> Connections = nullptr);
-  // NOLINTNEXTLINE(bugprone-exception-escape)
-  ~HttpListener();
-
-  absl::Status listen(const Endpoint &ListenAddress);
-  /// Makes every further answer carry "Connection: close".
-  void startDraining();
-  /// Closes the listening socket and all connections.
-  void close();
-  size_t connections() const;
-  /// Connections with a request that was begun and whose answer is not sent
-  /// completely.
-  size_t busyConnections() const;
-  /// The bound port; the one that the kernel assigned if port 0 was requested.
-  int port() const;
-
-private:
-  struct State;
-  std::shared_ptr<State> Shared;
-};
-
-/// Runs the loop until it is stopped. An exception that a handler throws is
-/// logged and ends only that handler.
-void runLoop(boost::asio::io_context &Loop);
-
 /// An HTTP call to another service of the system or the platform.
 struct OutgoingCall {
   std::string Method = "GET";
@@ -395,10 +226,8 @@
   void setRetrySlack(double Slack);
   /// Number of requests in progress.
   size_t activeRequests() const;
-  /// Counts the bytes that this exchange and its listeners hold.
-  std::shared_ptr<HeldMemory> heldMemory() const;
-  /// Bounds the connections of this exchange's listeners.
-  std::shared_ptr<ConnectionLimit> connectionLimit() const;
+  /// Bounds for the listeners of this exchange's callers.
+  ServingBounds servingBounds() const;
   const MemoryAccount &memoryAccount() const;
   /// Metrics of the choice of engines.
   std::vector<Gauge> engineGauges() const;
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -176,8 +176,7 @@
   return std::make_unique<HttpListener>(
       this->Loop, this->Timer,
       [this] { return this->Table ? this->Table->Limits : CallerLimits(); },
-      std::move(Handler), this->Relayer->heldMemory(),
-      this->Relayer->connectionLimit());
+      std::move(Handler), this->Relayer->servingBounds());
 }
 
 std::unique_ptr<HttpListener>
@@ -190,8 +189,7 @@
         Limits.BodyBytes = std::min(Limits.BodyBytes, MaxServiceBodyBytes);
         return Limits;
       },
-      std::move(Handler), this->Relayer->heldMemory(),
-      this->Relayer->connectionLimit());
+      std::move(Handler), this->Relayer->servingBounds());
 }
 
 absl::Status EdgeDaemon::State::start() {
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -74,10 +74,8 @@
 
 size_t Exchange::activeRequests() const { return this->Shared->Active.size(); }
 
-HeldMemoryPtr Exchange::heldMemory() const { return this->Shared->Memory; }
-
-ConnectionLimitPtr Exchange::connectionLimit() const {
-  return this->Shared->Connections;
+ServingBounds Exchange::servingBounds() const {
+  return {this->Shared->Memory, this->Shared->Connections};
 }
 
 const MemoryAccount &Exchange::memoryAccount() const {
--- a/src/exchange/forwarding.h
+++ b/src/exchange/forwarding.h
@@ -8,6 +8,7 @@
 #ifndef BERYLRAMP_EXCHANGE_FORWARDING_H
 #define BERYLRAMP_EXCHANGE_FORWARDING_H
 
+#include "berylramp/exchange.h"
 #include "http_parse.h"
 #include <optional>
 
--- a/src/exchange/http_client.cpp
+++ b/src/exchange/http_client.cpp
@@ -12,6 +12,7 @@
 #include "http_parse.h"
 
 #include "absl/strings/str_cat.h"
+#include "berylramp/exchange.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -9,6 +9,7 @@
 #ifndef BERYLRAMP_EXCHANGE_UPSTREAM_CONNECTION_H
 #define BERYLRAMP_EXCHANGE_UPSTREAM_CONNECTION_H
 
+#include "berylramp/exchange.h"
 #include "channel.h"
 #include "tunnel.h"
 #include <unordered_map>
--- a/src/exchange/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -164,6 +164,12 @@
   this->finish(this->CloseAfterStream || this->Hooks.Draining());
 }
 
+void CallerConnection::cutStream() {
+  if (!this->RequestActive)
+    return;
+  this->finish(/*Close=*/true);
+}
+
 void CallerConnection::abort() {
   this->Transport->reset();
   this->DisconnectHandler = nullptr;
@@ -232,12 +238,10 @@
   this->Parser.reset();
   freeMemory(this->Buffer);
   this->updateInput();
-  this->RequestActive = true;
-  this->KeepAlive = false;
   HttpHead Head;
   Head.Status = 503;
   Head.Headers.emplace_back("Retry-After", RetryAfterFull);
-  this->sendWhole(Head, "", true);
+  this->refuse(std::move(Head));
 }
 
 void CallerConnection::refuseBody() {
@@ -356,9 +360,18 @@
   Head.Status = Fault == ParseFault::HeaderTooLong ? 431
                 : Fault == ParseFault::BodyTooLong ? 413
                                                    : 400;
+  // The caller goes on sending, and reads the refusal all the same.
+  this->Discards = true;
+  this->refuse(std::move(Head));
+}
+
+void CallerConnection::refuse(HttpHead Head) {
   this->RequestActive = true;
   this->KeepAlive = false;
-  this->sendWhole(Head, "", true);
+  std::string Body;
+  if (this->Hooks.AddRefusalBody)
+    this->Hooks.AddRefusalBody(Head, Body);
+  this->sendWhole(Head, Body, true);
 }
 
 void CallerConnection::finish(bool Close) {
--- a/src/exchange/caller_connection.h
+++ b/src/serving/caller_connection.h
@@ -4,8 +4,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef BERYLRAMP_EXCHANGE_CALLER_CONNECTION_H
-#define BERYLRAMP_EXCHANGE_CALLER_CONNECTION_H
+#ifndef BERYLRAMP_SERVING_CALLER_CONNECTION_H
+#define BERYLRAMP_SERVING_CALLER_CONNECTION_H
 
 #include "cancellable_timer.h"
 #include "channel.h"
@@ -25,6 +25,7 @@
     std::function<bool()> Draining;
     std::function<void(std::shared_ptr<ChannelListener>)> RemoveConnection;
     RequestHandler Handler;
+    std::function<void(HttpHead &, std::string &)> AddRefusalBody;
     HeldMemoryPtr Memory;
     ConnectionLimitPtr Connections;
     TimerService *Timer = nullptr;
@@ -51,6 +52,7 @@
   void beginStream(const HttpHead &Head) override;
   void sendChunk(std::string Chunk) override;
   void endStream() override;
+  void cutStream() override;
   void onDrained() override;
   void abort() override;
   void onCallerDisconnect(std::function<void()> Call) override;
@@ -76,6 +78,8 @@
   ParseFault feed(absl::string_view Bytes);
   void startRequest(CallerRequest Request, bool MayKeepAlive);
   void rejectMalformed(ParseFault Fault);
+  /// Answers what no handler sees, and closes.
+  void refuse(HttpHead Head);
   void finish(bool Close);
   void takeNextRequest();
   void startTimeout(absl::Duration Timeout);
@@ -111,4 +115,4 @@
 
 } // namespace berylramp
 
-#endif // BERYLRAMP_EXCHANGE_CALLER_CONNECTION_H
+#endif // BERYLRAMP_SERVING_CALLER_CONNECTION_H
--- a/src/exchange/cancellable_timer.h
+++ b/src/serving/cancellable_timer.h
@@ -1,7 +1,7 @@
 //===- cancellable_timer.h - One-shot timer with reliable cancel *- C++ -*-===//
 
-#ifndef BERYLRAMP_EXCHANGE_CANCELLABLE_TIMER_H
-#define BERYLRAMP_EXCHANGE_CANCELLABLE_TIMER_H
+#ifndef BERYLRAMP_SERVING_CANCELLABLE_TIMER_H
+#define BERYLRAMP_SERVING_CANCELLABLE_TIMER_H
 
 #include "absl/time/time.h"
 #include <boost/asio/steady_timer.hpp>
@@ -52,4 +52,4 @@
 
 } // namespace berylramp
 
-#endif // BERYLRAMP_EXCHANGE_CANCELLABLE_TIMER_H
+#endif // BERYLRAMP_SERVING_CANCELLABLE_TIMER_H
--- a/src/exchange/channel.cpp
+++ b/src/serving/channel.cpp
@@ -1,8 +1,8 @@
 //===- channel.cpp - One TCP connection on the loop -----------------------===//
 //
 // A read waits until the socket is readable and then uses one buffer per
-// process, because all channels run on one loop. A write is attempted
-// immediately and waits only if the kernel's send buffer is full.
+// thread, because all channels of a loop run on one thread. A write is
+// attempted immediately and waits only if the kernel's send buffer is full.
 //
 //===----------------------------------------------------------------------===//
 
@@ -197,7 +197,7 @@
 }
 
 void Channel::readSome() {
-  static std::array<char, ReadBufferBytes> Bytes;
+  static thread_local std::array<char, ReadBufferBytes> Bytes;
   ErrorCode Error;
   size_t Count = this->Socket.read_some(boost::asio::buffer(Bytes), Error);
   if (Error == boost::asio::error::would_block) {
--- a/src/exchange/channel.h
+++ b/src/serving/channel.h
@@ -6,8 +6,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef BERYLRAMP_EXCHANGE_CHANNEL_H
-#define BERYLRAMP_EXCHANGE_CHANNEL_H
+#ifndef BERYLRAMP_SERVING_CHANNEL_H
+#define BERYLRAMP_SERVING_CHANNEL_H
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
@@ -130,4 +130,4 @@
 
 } // namespace berylramp
 
-#endif // BERYLRAMP_EXCHANGE_CHANNEL_H
+#endif // BERYLRAMP_SERVING_CHANNEL_H
--- a/src/exchange/connection_limit.h
+++ b/src/serving/connection_limit.h
@@ -6,8 +6,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef BERYLRAMP_EXCHANGE_CONNECTION_LIMIT_H
-#define BERYLRAMP_EXCHANGE_CONNECTION_LIMIT_H
+#ifndef BERYLRAMP_SERVING_CONNECTION_LIMIT_H
+#define BERYLRAMP_SERVING_CONNECTION_LIMIT_H
 
 #include <cstddef>
 #include <functional>
@@ -67,4 +67,4 @@
 
 } // namespace berylramp
 
-#endif // BERYLRAMP_EXCHANGE_CONNECTION_LIMIT_H
+#endif // BERYLRAMP_SERVING_CONNECTION_LIMIT_H
--- a/src/exchange/header_block.cpp
+++ b/src/serving/header_block.cpp
@@ -6,7 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "berylramp/exchange.h"
+#include "berylramp/serving.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
--- a/src/exchange/held_memory.h
+++ b/src/serving/held_memory.h
@@ -6,8 +6,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef BERYLRAMP_EXCHANGE_HELD_MEMORY_H
-#define BERYLRAMP_EXCHANGE_HELD_MEMORY_H
+#ifndef BERYLRAMP_SERVING_HELD_MEMORY_H
+#define BERYLRAMP_SERVING_HELD_MEMORY_H
 
 #include "berylramp/memory_account.h"
 #include "berylramp/observe.h"
@@ -84,4 +84,4 @@
 
 } // namespace berylramp
 
-#endif // BERYLRAMP_EXCHANGE_HELD_MEMORY_H
+#endif // BERYLRAMP_SERVING_HELD_MEMORY_H
--- a/src/exchange/http_parse.h
+++ b/src/serving/http_parse.h
@@ -5,10 +5,10 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef BERYLRAMP_EXCHANGE_HTTP_PARSE_H
-#define BERYLRAMP_EXCHANGE_HTTP_PARSE_H
+#ifndef BERYLRAMP_SERVING_HTTP_PARSE_H
+#define BERYLRAMP_SERVING_HTTP_PARSE_H
 
-#include "berylramp/exchange.h"
+#include "berylramp/serving.h"
 #include <optional>
 
 namespace berylramp {
@@ -74,4 +74,4 @@
 
 } // namespace berylramp
 
-#endif // BERYLRAMP_EXCHANGE_HTTP_PARSE_H
+#endif // BERYLRAMP_SERVING_HTTP_PARSE_H
--- a/src/exchange/listener.cpp
+++ b/src/serving/listener.cpp
@@ -33,6 +33,7 @@
   TimerService &Timer;
   std::function<CallerLimits()> Limits;
   RequestHandler Handler;
+  std::function<void(HttpHead &, std::string &)> AddRefusalBody;
   HeldMemoryPtr Memory;
   ConnectionLimitPtr Limit;
   bool Draining = false;
@@ -72,6 +73,7 @@
   CallerConnection::ListenerHooks Hooks;
   Hooks.Limits = this->Limits;
   Hooks.Handler = this->Handler;
+  Hooks.AddRefusalBody = this->AddRefusalBody;
   Hooks.Timer = &this->Timer;
   Hooks.Memory = this->Memory;
   Hooks.Connections = this->Limit;
@@ -91,15 +93,22 @@
   NewConnection->start();
 }
 
+ServingBounds makeServingBounds(boost::asio::io_context &Loop,
+                                TimerService &Timer, Metrics &Counters,
+                                const MemoryBounds &Memory,
+                                size_t MaxConnections) {
+  return {std::make_shared<HeldMemory>(Loop, Timer, Counters, Memory),
+          std::make_shared<ConnectionLimit>(MaxConnections)};
+}
+
 HttpListener::HttpListener(boost::asio::io_context &Loop, TimerService &Timer,
                            std::function<CallerLimits()> Limits,
-                           RequestHandler Handler, HeldMemoryPtr Memory,
-                           ConnectionLimitPtr Connections)
+                           RequestHandler Handler, ServingBounds Bounds)
     : Shared(std::make_shared<State>(Loop, Timer)) {
   this->Shared->Limits = std::move(Limits);
   this->Shared->Handler = std::move(Handler);
-  this->Shared->Memory = std::move(Memory);
-  this->Shared->Limit = std::move(Connections);
+  this->Shared->Memory = std::move(Bounds.Memory);
+  this->Shared->Limit = std::move(Bounds.Connections);
 }
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
@@ -115,10 +124,19 @@
 
 void HttpListener::startDraining() { this->Shared->Draining = true; }
 
-void HttpListener::close() {
+void HttpListener::setRefusalBody(
+    std::function<void(HttpHead &, std::string &)> Call) {
+  this->Shared->AddRefusalBody = std::move(Call);
+}
+
+void HttpListener::stopAccepting() {
   boost::system::error_code Ignored;
   this->Shared->Acceptor.close(Ignored);
   this->Shared->RetryTimer.cancel();
+}
+
+void HttpListener::close() {
+  this->stopAccepting();
   auto Open = this->Shared->Connections;
   for (const auto &OpenConnection : Open)
     static_cast<CallerConnection &>(*OpenConnection).closeNow();
--- a/src/exchange/loop_timer.cpp
+++ b/src/serving/loop_timer.cpp
@@ -1,7 +1,7 @@
 //===- loop_timer.cpp - Timer service on the event loop -------------------===//
 
-#include "berylramp/exchange.h"
 #include "berylramp/observe.h"
+#include "berylramp/serving.h"
 
 namespace berylramp {
 
--- a/test/slow_reader_test.cpp
+++ b/test/slow_reader_test.cpp
@@ -84,7 +84,7 @@
               this->Requests.push_back(std::move(Request));
               this->Responders.push_back(Responder);
             },
-            Memory) {
+            ServingBounds{Memory, nullptr}) {
     REQUIRE(this->Listener.listen({"127.0.0.1", 0}).ok());
   }
 
