Serve the entry daemon's callers with the listener that counts bytes

What callers saw: the daemon was killed for want of memory.

Cause: cpp-httplib's server holds a thread for each connection and reads each request whole, with no bound on the sum; paths and Range fields went through recursive regular expressions, whose stack each thread kept.

Why it works: one loop receives requests and counts them from the first byte; only a complete request takes a thread, and counts. memory_mb (120) sets the bound, and half of the process's descriptors are for callers.

--- a/include/berylramp/http.h
+++ b/include/berylramp/http.h
@@ -1,8 +1,8 @@
 //===- http.h - HTTP server and client adapters -----------------*- C++ -*-===//
 //
-// Wraps the server and the client of cpp-httplib, so that its types are visible
-// only inside this library. A handler runs on the thread of its connection and
-// sends its reply either as one body or as a stream.
+// A server for handlers that block, and a client. A handler runs on a thread of
+// its own and sends its reply either as one body or as a stream. The types of
+// cpp-httplib are visible only inside this library.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,6 +12,7 @@
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "berylramp/ports.h"
+#include "berylramp/serving.h"
 #include "berylramp/units.h"
 #include <functional>
 #include <memory>
@@ -30,12 +31,15 @@
   std::string Method;
   std::string Path;
   std::string Body;
-  std::vector<HeaderLine> Headers;
-  std::vector<HeaderLine> Params;
+  HeaderBlock Headers;
+  /// The part of the target after '?', as received.
+  std::string Query;
 
   /// Returns the first header with this name, ignoring case, or an empty string
   /// if there is none.
   std::string header(const char *Name) const;
+  /// Returns the first parameter of the query with this name, decoded, or an
+  /// empty string.
   std::string param(const char *Name) const;
 };
 
@@ -58,12 +62,14 @@
 
 struct HttpServerLimits {
   size_t MaxBodyBytes = 1 << 20;
-  /// The number of connections served concurrently. Each open connection
-  /// occupies a thread.
+  /// Open connections, and requests in progress, each of which occupies a
+  /// thread. Above it, the connection that has waited longest for its client
+  /// closes.
   size_t MaxConnections = 1024;
-  /// How long an idle connection stays open, in whole seconds. stop() waits up
-  /// to this long for idle connections.
-  absl::Duration KeepAliveTimeout = absl::Seconds(2);
+  /// How long a connection stays open without a byte of a request.
+  absl::Duration KeepAliveTimeout = absl::Seconds(5);
+  /// Memory of the process, of which requests and replies may take a part.
+  int64_t MemoryBytes = 512LL << 20;
 };
 
 /// Serves the registered routes until stop(), which lets active requests
@@ -76,9 +82,10 @@
   /// Registers a handler for a method and a path. A path that ends in '/'
   /// matches every path below it; any other path matches exactly.
   void route(std::string Method, std::string Path, HttpHandler Handler);
-  /// Sets the function that makes the JSON body of the 413 response to a
-  /// request whose body exceeds the limit.
-  void setPayloadTooLargeBody(std::function<std::string()> MakeBody);
+  /// Sets the function that makes the JSON body of a refusal that no handler
+  /// sees: 413 if a body exceeds the limit, 431 for a header, 503 if the
+  /// process holds too many bytes, 400 for a malformed request.
+  void setRefusalBody(std::function<std::string(int Status)> MakeBody);
   /// Binds the address and returns it. Port 0 selects a free port.
   absl::StatusOr<Endpoint> bind(const Endpoint &Listen);
   /// Starts to serve the bound address on threads of the server and returns.
--- a/include/berylramp/settings.h
+++ b/include/berylramp/settings.h
@@ -64,6 +64,8 @@
   int ClaimShards = 2;
   size_t MaxBodyBytes = 1 << 20;
   size_t MaxConnections = 2048;
+  /// Memory that the process may use. Requests and replies take a part of it.
+  int64_t MemoryBytes = 120LL << 20;
   size_t MaxBufferedBills = 10000;
   PlanPolicy PlanSelection = PlanPolicy::Lean;
   ReplicaPolicy ReplicaSelection = ReplicaPolicy::Affinity;
--- a/src/http/elastic_task_queue.h
+++ b/src/http/elastic_task_queue.h
@@ -1,8 +1,8 @@
 //===- elastic_task_queue.h - Task queue that grows on demand ---*- C++ -*-===//
 //
-// cpp-httplib occupies a thread for each open connection. A fixed-size pool
-// would have to start with one thread for each concurrent stream. This queue
-// starts a thread when none is idle, up to a maximum.
+// Each request in progress occupies a thread. A fixed-size pool would have to
+// start with one thread for each concurrent stream. This queue starts a thread
+// when none is idle, up to a maximum.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,20 +12,19 @@
 #include "berylramp/sync.h"
 #include <deque>
 #include <functional>
-#include <httplib.h>
 #include <thread>
 #include <vector>
 
 namespace berylramp::internal {
 
-class ElasticTaskQueue : public httplib::TaskQueue {
+class ElasticTaskQueue {
 public:
   explicit ElasticTaskQueue(size_t MaxThreads);
-  ~ElasticTaskQueue() override;
+  ~ElasticTaskQueue();
 
-  // Overrides of httplib::TaskQueue, hence the names.
-  void enqueue(std::function<void()> Task) override;
-  void shutdown() override;
+  void enqueue(std::function<void()> Task);
+  /// Runs the tasks that were enqueued and ends all threads.
+  void shutdown();
 
 private:
   void runWorker();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,37 +1,51 @@
-//===- server.cpp - The HTTP server over cpp-httplib ----------------------===//
+//===- server.cpp - HTTP server with blocking handlers --------------------===//
 //
-// The listen backlog of cpp-httplib is so small that a burst of connection
-// attempts overflows it and clients retransmit after a second. bind() therefore
-// calls listen() again with a larger backlog. The socket options omit
-// SO_REUSEPORT, the default of the library, because it would let two daemons
-// bind the same port without an error.
+// One loop receives requests and sends replies, so that connections and
+// incomplete requests take no thread; a handler runs on a thread of its own.
+// Replies are posted to the loop, which owns the connections.
 //
 //===----------------------------------------------------------------------===//
 
 #include "berylramp/http.h"
 #include "elastic_task_queue.h"
+#include "held_memory.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include <atomic>
-#include <httplib.h>
-#include <sys/socket.h>
+#include "absl/strings/str_split.h"
+#include "berylramp/json.h"
+#include "berylramp/sync.h"
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <exception>
+#include <thread>
 
 namespace berylramp {
 
 namespace {
 
-constexpr int StatusPayloadTooLarge = 413;
-constexpr int ListenBacklog = 1024;
-constexpr size_t MaxRequestsPerConnection = 1000000;
+/// Memory of a request in progress besides its bytes: a thread's stack and
+/// what the handler keeps.
+constexpr int64_t RequestBytes = 72LL << 10;
+/// Bytes of a stream that a handler may be ahead of the loop.
+constexpr size_t MaxPostedBytes = 64U << 10;
+/// Time in which the last replies are sent when the server stops.
+constexpr absl::Duration FlushTimeout = absl::Seconds(2);
+constexpr absl::Duration FlushPollInterval = absl::Milliseconds(5);
+/// Time after which a caller that was refused for want of memory finds room.
+constexpr const char *RetryAfterFull = "1";
 
-struct Route {
+struct Entry {
   std::string Method;
   std::string Path;
   HttpHandler Handler;
 
   bool matches(const HttpRequest &Request) const {
-    if (this->Method != Request.Method)
+    bool SameMethod = this->Method == Request.Method ||
+                      (this->Method == "GET" && Request.Method == "HEAD");
+    if (!SameMethod)
       return false;
     if (absl::EndsWith(this->Path, "/"))
       return absl::StartsWith(Request.Path, this->Path);
@@ -39,161 +53,275 @@
   }
 };
 
-std::vector<HeaderLine> toHeaderLines(const httplib::Headers &Headers) {
-  std::vector<HeaderLine> Lines;
-  for (const auto &[Name, Value] : Headers)
-    Lines.push_back(HeaderLine{Name, Value});
-  return Lines;
+/// Decodes "%XX", and '+' as a space in queries.
+std::string decodeUrl(absl::string_view Text, bool IsQuery) {
+  std::string Result;
+  for (size_t Index = 0; Index < Text.size(); ++Index) {
+    int Code = 0;
+    if (Text[Index] == '%' && Index + 2 < Text.size() &&
+        absl::SimpleHexAtoi(Text.substr(Index + 1, 2), &Code)) {
+      Result += static_cast<char>(Code);
+      Index += 2;
+    } else {
+      Result += IsQuery && Text[Index] == '+' ? ' ' : Text[Index];
+    }
+  }
+  return Result;
 }
 
-std::vector<HeaderLine> toParamLines(const httplib::Params &Params) {
-  std::vector<HeaderLine> Lines;
-  for (const auto &[Name, Value] : Params)
-    Lines.push_back(HeaderLine{Name, Value});
-  return Lines;
+HttpRequest toHttpRequest(CallerRequest Request) {
+  absl::string_view Target = Request.Target;
+  size_t Mark = Target.find('?');
+  HttpRequest Result;
+  Result.Path = decodeUrl(Target.substr(0, Mark), /*IsQuery=*/false);
+  if (Mark != absl::string_view::npos)
+    Result.Query = std::string(Target.substr(Mark + 1));
+  Result.Method = std::move(Request.Method);
+  Result.Body = std::move(Request.Body);
+  Result.Headers = std::move(Request.Headers);
+  return Result;
 }
 
-const HeaderLine *findHeader(const std::vector<HeaderLine> &Lines,
-                             const char *Name) {
-  for (const HeaderLine &Line : Lines) {
-    if (absl::EqualsIgnoreCase(Line.Name, Name))
-      return &Line;
-  }
-  return nullptr;
+/// A connection that the reply asks to close closes after it.
+bool takeClose(HttpHead &Head) {
+  size_t Before = Head.Headers.size();
+  Head.Headers.erase(
+      std::remove_if(Head.Headers.begin(), Head.Headers.end(),
+                     [](const HeaderField &Field) {
+                       return absl::EqualsIgnoreCase(Field.first,
+                                                     "Connection") &&
+                              absl::EqualsIgnoreCase(Field.second, "close");
+                     }),
+      Head.Headers.end());
+  return Head.Headers.size() < Before;
 }
 
-void sendStream(const HttpReply &Reply, httplib::Response &Response) {
-  auto WriteBody = [Stream = Reply.Stream](size_t, httplib::DataSink &Sink) {
-    HttpWriter Write = [&Sink](const std::string &Bytes) {
-      return Sink.write(Bytes.data(), Bytes.size());
-    };
-    if (!Stream(Write))
-      return false;
-    Sink.done();
-    return true;
-  };
-  Response.set_chunked_content_provider(Reply.ContentType, WriteBody);
+HttpHead headOf(const HttpReply &Reply) {
+  HttpHead Head;
+  Head.Status = Reply.Status;
+  Head.Headers.emplace_back("Content-Type", Reply.ContentType);
+  for (const HeaderLine &Line : Reply.Headers)
+    Head.Headers.emplace_back(Line.Name, Line.Value);
+  return Head;
 }
 
+/// What a handler that streams and the loop share.
+struct StreamState {
+  Mutex Lock;
+  size_t PostedBytes = 0;
+  bool CallerLeft = false;
+};
+
 } // namespace
 
 std::string HttpRequest::header(const char *Name) const {
-  const HeaderLine *Found = findHeader(this->Headers, Name);
-  return Found == nullptr ? "" : Found->Value;
+  return std::string(findHeader(this->Headers, Name).value_or(""));
 }
 
 std::string HttpRequest::param(const char *Name) const {
-  const HeaderLine *Found = findHeader(this->Params, Name);
-  return Found == nullptr ? "" : Found->Value;
+  for (absl::string_view Part : absl::StrSplit(this->Query, '&')) {
+    std::pair<absl::string_view, absl::string_view> Pair =
+        absl::StrSplit(Part, absl::MaxSplits('=', 1));
+    if (decodeUrl(Pair.first, /*IsQuery=*/true) == Name)
+      return decodeUrl(Pair.second, /*IsQuery=*/true);
+  }
+  return "";
 }
 
 struct HttpServer::Impl {
-  HttpServerLimits Limits;
-  httplib::Server Server;
-  std::vector<Route> Routes;
-  std::atomic<int> Socket{-1};
-  std::thread Listener;
-
-  void dispatch(const httplib::Request &Incoming, httplib::Response &Response) {
-    HttpRequest Request{Incoming.method, Incoming.path, Incoming.body,
-                        toHeaderLines(Incoming.headers),
-                        toParamLines(Incoming.params)};
-    for (const Route &Candidate : this->Routes) {
-      if (!Candidate.matches(Request))
-        continue;
-      HttpReply Reply;
-      Candidate.Handler(Request, Reply);
-      this->send(Reply, Response);
+  explicit Impl(const HttpServerLimits &Limits)
+      : Bounds(makeServingBounds(Loop, Timer, Counters,
+                                 memoryBounds(Limits.MemoryBytes),
+                                 Limits.MaxConnections)),
+        Listener(
+            Loop, Timer,
+            [Limits] {
+              CallerLimits Result;
+              Result.BodyBytes = static_cast<int64_t>(Limits.MaxBodyBytes);
+              Result.IdleTimeout = Limits.KeepAliveTimeout;
+              return Result;
+            },
+            [this](CallerRequest Request, const ResponderPtr &Responder) {
+              this->handle(std::move(Request), Responder);
+            },
+            Bounds),
+        Workers(Limits.MaxConnections) {
+    this->Listener.setRefusalBody([this](HttpHead &Head, std::string &Body) {
+      this->addRefusalBody(Head, Body);
+    });
+  }
+
+  void addRefusalBody(HttpHead &Head, std::string &Body) const {
+    if (this->RefusalBody)
+      Body = this->RefusalBody(Head.Status);
+    Head.Headers.emplace_back("Content-Type", "application/json");
+  }
+
+  void refuseFull(const ResponderPtr &Responder) const {
+    HttpHead Head;
+    Head.Status = 503;
+    Head.Headers.emplace_back("Retry-After", RetryAfterFull);
+    std::string Body;
+    this->addRefusalBody(Head, Body);
+    Responder->sendWhole(Head, Body, /*CloseAfter=*/true);
+  }
+
+  void handle(CallerRequest Incoming, const ResponderPtr &Responder) {
+    if (Incoming.BodyRefused ||
+        !this->Bounds.Memory->account().admits(RequestBytes)) {
+      this->refuseFull(Responder);
       return;
     }
-    Response.status = 404;
-    Response.set_content("{\"error\":{\"type\":\"no_such_path\"}}",
-                         "application/json");
+    auto Request =
+        std::make_shared<HttpRequest>(toHttpRequest(std::move(Incoming)));
+    for (const Entry &Candidate : this->Entries)
+      if (Candidate.matches(*Request)) {
+        this->startHandler(Candidate.Handler, std::move(Request), Responder);
+        return;
+      }
+    HttpHead Head;
+    Head.Status = 404;
+    Head.Headers.emplace_back("Content-Type", "application/json");
+    Responder->sendWhole(Head, R"({"error":{"type":"no_such_path"}})", false);
+  }
+
+  void startHandler(const HttpHandler &Handler,
+                    std::shared_ptr<HttpRequest> Request,
+                    const ResponderPtr &Responder) {
+    auto Held =
+        std::make_shared<HeldBytes>(this->Bounds.Memory, HeldKind::CallerInput);
+    Held->set(RequestBytes);
+    auto Stream = std::make_shared<StreamState>();
+    Responder->onCallerDisconnect([Stream] {
+      MutexLock Guard(&Stream->Lock);
+      Stream->CallerLeft = true;
+    });
+    {
+      MutexLock Guard(&this->Lock);
+      this->ActiveHandlers += 1;
+    }
+    this->Workers.enqueue([this, Handler, Request = std::move(Request),
+                           Responder, Stream, Held]() mutable {
+      HttpReply Reply = runHandler(Handler, *Request);
+      Request.reset();
+      if (Reply.Stream)
+        this->sendStream(Reply, Responder, Stream);
+      // The connection and its account belong to the loop.
+      boost::asio::post(this->Loop, [this, Reply = std::move(Reply),
+                                     Responder = std::move(Responder),
+                                     Held = std::move(Held)]() mutable {
+        if (!Reply.Stream) {
+          HttpHead Head = headOf(Reply);
+          bool Close = takeClose(Head);
+          Responder->sendWhole(Head, Reply.Body, Close);
+        }
+        MutexLock Guard(&this->Lock);
+        this->ActiveHandlers -= 1;
+      });
+    });
+  }
+
+  static HttpReply runHandler(const HttpHandler &Handler,
+                              const HttpRequest &Request) {
+    HttpReply Reply;
+    try {
+      Handler(Request, Reply);
+    } catch (const std::exception &Error) {
+      Json::Value Line(Json::objectValue);
+      Line["path"] = Request.Path;
+      Line["error"] = Error.what();
+      logEvent(LogLevel::Error, "handler_failed", Line);
+      Reply = HttpReply();
+      Reply.Status = 500;
+      Reply.Body = R"({"error":{"type":"internal","ran":"unknown"}})";
+    }
+    return Reply;
   }
 
-  void send(const HttpReply &Reply, httplib::Response &Response) {
-    Response.status = Reply.Status;
-    for (const HeaderLine &Line : Reply.Headers)
-      Response.set_header(Line.Name, Line.Value);
-    if (Reply.Stream)
-      sendStream(Reply, Response);
-    else
-      Response.set_content(Reply.Body, Reply.ContentType);
+  /// Runs on the handler's thread.
+  void sendStream(const HttpReply &Reply, const ResponderPtr &Responder,
+                  const std::shared_ptr<StreamState> &Stream) {
+    boost::asio::post(this->Loop, [Head = headOf(Reply), Responder] {
+      Responder->beginStream(Head);
+    });
+    bool IsComplete = Reply.Stream([&](const std::string &Bytes) {
+      {
+        MutexLock Guard(&Stream->Lock);
+        Stream->Lock.await([&] {
+          return Stream->CallerLeft || Stream->PostedBytes < MaxPostedBytes;
+        });
+        if (Stream->CallerLeft)
+          return false;
+        Stream->PostedBytes += Bytes.size();
+      }
+      boost::asio::post(this->Loop, [Responder, Stream, Bytes] {
+        Responder->sendChunk(Bytes);
+        MutexLock Guard(&Stream->Lock);
+        Stream->PostedBytes -= Bytes.size();
+      });
+      return true;
+    });
+    boost::asio::post(this->Loop, [Responder, IsComplete] {
+      if (IsComplete)
+        Responder->endStream();
+      else
+        Responder->cutStream();
+    });
   }
+
+  void closeWhenFlushed(Instant Deadline) {
+    bool IsFlushed = this->Listener.busyConnections() == 0;
+    if (!IsFlushed && this->Timer.now() < Deadline) {
+      this->Timer.after(FlushPollInterval,
+                        [this, Deadline] { this->closeWhenFlushed(Deadline); });
+      return;
+    }
+    this->Listener.close();
+    this->Loop.stop();
+  }
+
+  boost::asio::io_context Loop{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      KeepsRunning{Loop.get_executor()};
+  LoopTimer Timer{Loop};
+  Metrics Counters;
+  ServingBounds Bounds;
+  HttpListener Listener;
+  internal::ElasticTaskQueue Workers;
+  std::vector<Entry> Entries;
+  std::function<std::string(int)> RefusalBody;
+  Mutex Lock;
+  int ActiveHandlers = 0;
+  std::thread Thread;
 };
 
 HttpServer::HttpServer(HttpServerLimits Limits)
-    : State(std::make_unique<Impl>()) {
-  Impl &Self = *this->State;
-  Self.Limits = Limits;
-  httplib::Server &Server = Self.Server;
-  Server.new_task_queue = [Max = Limits.MaxConnections] {
-    return new internal::ElasticTaskQueue(Max);
-  };
-  Server.set_tcp_nodelay(true);
-  Server.set_payload_max_length(Limits.MaxBodyBytes);
-  Server.set_keep_alive_max_count(MaxRequestsPerConnection);
-  Server.set_keep_alive_timeout(absl::ToInt64Seconds(Limits.KeepAliveTimeout));
-  Server.set_socket_options([&Self](socket_t Socket) {
-    int Enable = 1;
-    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Enable, sizeof(Enable));
-    Self.Socket = Socket;
-  });
-  Server.set_exception_handler([](const httplib::Request &,
-                                  httplib::Response &Response,
-                                  const std::exception_ptr &) {
-    Response.status = 500;
-    Response.set_content("{\"error\":{\"type\":\"internal\",\"ran\":"
-                         "\"unknown\"}}",
-                         "application/json");
-  });
-  auto Dispatch = [&Self](const httplib::Request &Incoming,
-                          httplib::Response &Response) {
-    Self.dispatch(Incoming, Response);
-  };
-  Server.Get(".*", Dispatch);
-  Server.Post(".*", Dispatch);
-  Server.Put(".*", Dispatch);
-  Server.Delete(".*", Dispatch);
-}
+    : State(std::make_unique<Impl>(Limits)) {}
 
 HttpServer::~HttpServer() { this->stop(); }
 
-void HttpServer::setPayloadTooLargeBody(std::function<std::string()> MakeBody) {
-  this->State->Server.set_error_handler(
-      [MakeBody = std::move(MakeBody)](const httplib::Request &,
-                                       httplib::Response &Response) {
-        if (Response.status == StatusPayloadTooLarge)
-          Response.set_content(MakeBody(), "application/json");
-      });
+void HttpServer::setRefusalBody(std::function<std::string(int)> MakeBody) {
+  this->State->RefusalBody = std::move(MakeBody);
 }
 
 void HttpServer::route(std::string Method, std::string Path,
                        HttpHandler Handler) {
-  this->State->Routes.push_back(
-      Route{std::move(Method), std::move(Path), std::move(Handler)});
+  this->State->Entries.push_back(
+      Entry{std::move(Method), std::move(Path), std::move(Handler)});
 }
 
 absl::StatusOr<Endpoint> HttpServer::bind(const Endpoint &Listen) {
-  Impl &Self = *this->State;
-  Endpoint Bound = Listen;
-  if (Listen.Port == 0)
-    Bound.Port = Self.Server.bind_to_any_port(Listen.Ip);
-  else if (!Self.Server.bind_to_port(Listen.Ip, Listen.Port))
-    Bound.Port = -1;
-  if (Bound.Port <= 0)
+  absl::Status Opened = this->State->Listener.listen(Listen);
+  if (!Opened.ok())
     return absl::UnavailableError(absl::StrCat(
-        "cannot listen on ", Listen.text(),
-        "; choose another address or stop the process that uses it"));
-  ::listen(Self.Socket, ListenBacklog);
-  return Bound;
+        "cannot listen on ", Listen.text(), " (", Opened.message(),
+        "); choose another address or stop the process that uses it"));
+  return Endpoint{Listen.Ip, this->State->Listener.port()};
 }
 
 void HttpServer::serve() {
   Impl &Self = *this->State;
-  Self.Listener = std::thread([&Self] { Self.Server.listen_after_bind(); });
-  while (!Self.Server.is_running())
-    std::this_thread::yield();
+  Self.Thread = std::thread([&Self] { runLoop(Self.Loop); });
 }
 
 absl::StatusOr<Endpoint> HttpServer::start(const Endpoint &Listen) {
@@ -205,10 +333,21 @@
 
 void HttpServer::stop() {
   Impl &Self = *this->State;
-  if (!Self.Listener.joinable())
+  if (!Self.Thread.joinable())
     return;
-  Self.Server.stop();
-  Self.Listener.join();
+  boost::asio::post(Self.Loop, [&Self] {
+    Self.Listener.stopAccepting();
+    Self.Listener.startDraining();
+  });
+  {
+    MutexLock Guard(&Self.Lock);
+    Self.Lock.await([&Self] { return Self.ActiveHandlers == 0; });
+  }
+  boost::asio::post(Self.Loop, [&Self] {
+    Self.closeWhenFlushed(Self.Timer.now() + FlushTimeout);
+  });
+  Self.Thread.join();
+  Self.Workers.shutdown();
 }
 
 } // namespace berylramp
--- a/src/router/caller_api.cpp
+++ b/src/router/caller_api.cpp
@@ -78,6 +78,20 @@
   return writeJson(Body);
 }
 
+/// The refusal of a request that no handler saw.
+Refusal unreadRefusal(int Status) {
+  if (Status == refusalStatus(RefusalKind::BodyTooLong))
+    return makeNotRunRefusal(RefusalKind::BodyTooLong,
+                             "the request body exceeds the size limit");
+  if (Status == refusalStatus(RefusalKind::Overloaded))
+    return makeNotRunRefusal(
+        RefusalKind::Overloaded,
+        "this host holds too many bytes of requests and answers");
+  return makeNotRunRefusal(
+      RefusalKind::BadBody,
+      "the request is malformed, or its header exceeds the size limit");
+}
+
 std::string errorEvent(const Refusal &Reason, const RequestId &Request) {
   return absl::StrCat("event: error\ndata: ",
                       writeJson(refusalToJson(Reason, Request.text())), "\n\n");
@@ -123,12 +137,10 @@
 CallerApi::CallerApi(RouterParts &Parts) : Parts(Parts) {}
 
 void CallerApi::addRoutes(HttpServer &Server) {
-  Server.setPayloadTooLargeBody([this] {
-    this->Parts.Context.Counts.countRefusal(RefusalKind::BodyTooLong);
-    return writeJson(refusalToJson(
-        makeNotRunRefusal(RefusalKind::BodyTooLong,
-                          "the request body exceeds the size limit"),
-        ""));
+  Server.setRefusalBody([this](int Status) {
+    Refusal Reason = unreadRefusal(Status);
+    this->Parts.Context.Counts.countRefusal(Reason.Kind);
+    return writeJson(refusalToJson(Reason, ""));
   });
   Server.route("POST", "/v1/chat/completions",
                [this](const HttpRequest &Request, HttpReply &Reply) {
--- a/src/settings/entry_schema.h
+++ b/src/settings/entry_schema.h
@@ -62,6 +62,7 @@
     "claim_shards": {"type": "integer", "minimum": 1, "maximum": 64},
     "max_body_bytes": {"type": "integer", "minimum": 1024},
     "max_connections": {"type": "integer", "minimum": 8, "maximum": 65536},
+    "memory_mb": {"type": "integer", "minimum": 64, "maximum": 1048576},
     "bill_buffer": {"type": "integer", "minimum": 1},
     "plan_policy": {"enum": ["largest", "round-robin", "least-loaded",
                              "static-cheapest", "direct", "cascade", "lean"]},
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::array<const char *, 4> ReplicaPolicyNames = {
     "round-robin", "least-loaded", "two-choices", "affinity"};
+constexpr int64_t BytesPerMegabyte = 1 << 20;
 /// Shorter than the minimum key length, so that printed settings are rejected
 /// when they are used as input.
 constexpr const char *RedactedSecret = "hidden";
@@ -58,6 +59,9 @@
   Settings.MaxConnections =
       static_cast<size_t>(intAt(Document, "max_connections",
                                 static_cast<int64_t>(Settings.MaxConnections)));
+  Settings.MemoryBytes =
+      intAt(Document, "memory_mb", Settings.MemoryBytes / BytesPerMegabyte) *
+      BytesPerMegabyte;
   Settings.MaxBufferedBills = static_cast<size_t>(
       intAt(Document, "bill_buffer",
             static_cast<int64_t>(Settings.MaxBufferedBills)));
@@ -198,6 +202,7 @@
   Document["claim_shards"] = Settings.ClaimShards;
   Document["max_body_bytes"] = Json::UInt64(Settings.MaxBodyBytes);
   Document["max_connections"] = Json::UInt64(Settings.MaxConnections);
+  Document["memory_mb"] = Json::Int64(Settings.MemoryBytes / BytesPerMegabyte);
   Document["bill_buffer"] = Json::UInt64(Settings.MaxBufferedBills);
   Document["plan_policy"] = planPolicyName(Settings.PlanSelection);
   Document["replica_policy"] =
--- a/src/tools/entryd/main.cpp
+++ b/src/tools/entryd/main.cpp
@@ -15,8 +15,11 @@
 #include "berylramp/settings.h"
 #include "cli.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <limits>
+#include <sys/resource.h>
 #include <tclap/CmdLine.h>
 
 namespace {
@@ -78,6 +81,15 @@
   return Ports;
 }
 
+/// Half of the descriptors; the rest is for engines, services, the log and
+/// other hosts.
+size_t maxConnectionsOfProcess() {
+  rlimit Descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &Descriptors) != 0)
+    return std::numeric_limits<size_t>::max();
+  return std::max<size_t>(static_cast<size_t>(Descriptors.rlim_cur) / 2, 1);
+}
+
 /// Waits until the router is drained or a second termination signal arrives.
 void drain(Router &EntryRouter, const sigset_t &TerminationSignals) {
   timespec PollInterval = absl::ToTimespec(DrainPollInterval);
@@ -94,7 +106,9 @@
   Metrics Counts;
   HttpServerLimits Limits;
   Limits.MaxBodyBytes = Settings.MaxBodyBytes;
-  Limits.MaxConnections = Settings.MaxConnections;
+  Limits.MaxConnections =
+      std::min(Settings.MaxConnections, maxConnectionsOfProcess());
+  Limits.MemoryBytes = Settings.MemoryBytes;
   Router EntryRouter(Settings, makePorts(Settings, Counts), Timer, Counts);
   HttpServer Server(Limits);
   EntryRouter.addRoutes(Server);
