--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -201,7 +201,8 @@
       this->ActiveHandlers += 1;
     }
     this->Workers.enqueue([this, Handler, Request = std::move(Request),
-                           Responder, Stream, Held]() mutable {
+                           Responder = ResponderPtr(Responder), Stream,
+                           Held]() mutable {
       HttpReply Reply = runHandler(Handler, *Request);
       Request.reset();
       if (Reply.Stream)
