Read no pipelined requests ahead, and end unread requests first

A connection read on while it answered one pipelined request after the other, so that its buffer held 1 MB where 64 KB were meant. And above the bound the account ended the holder with the largest lag, here 1 ms of a request that a replica was reading, counted with 16 KB of the kernel's buffer.

Why it works: a connection reads nothing more until what it has received is used, and requests that are still being received end before those that a replica may have run; a holder frees enough from 24 KB on. Bytes that arrive behind an answer that closes are dropped: they crashed the daemon since.

--- a/src/memory_account/memory_account.cpp
+++ b/src/memory_account/memory_account.cpp
@@ -36,7 +36,7 @@
 /// bytes.
 constexpr absl::Duration SlowLag = absl::Milliseconds(500);
 /// Ending a holder of fewer bytes frees too little.
-constexpr int64_t MinFreedBytes = 16LL << 10;
+constexpr int64_t MinFreedBytes = 24LL << 10;
 
 int64_t fractionOf(int64_t Bytes, double Fraction) {
   return static_cast<int64_t>(static_cast<double>(Bytes) * Fraction);
@@ -147,11 +147,16 @@
            this->ofOwner(Candidate.Description.Owner) > this->Limits.PerOwner;
   };
   // Readers of an owner above its share come first, then those that free
-  // enough; then the lag decides.
+  // enough; then those that are slow, and requests that are being received,
+  // because nobody has run them; then the lag decides.
   auto Rank = [&](const Entry &Candidate) {
+    HeldKind Kind = Candidate.Description.Kind;
+    bool IsUnread =
+        Kind == HeldKind::CallerInput || Kind == HeldKind::Connection;
     return std::make_tuple(
         IsAboveShare(Candidate), Candidate.Bytes >= MinFreedBytes,
-        Now - Candidate.MarkAt, Candidate.Bytes, Candidate.Description.Id);
+        Now - Candidate.MarkAt >= SlowLag, IsUnread, Now - Candidate.MarkAt,
+        Candidate.Bytes, Candidate.Description.Id);
   };
   const Entry *Slowest = nullptr;
   for (const auto &[Id, Candidate] : this->Entries) {
--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -26,7 +26,7 @@
 /// A body is counted twice while it is sent to a replica.
 constexpr size_t BodyCopies = 2;
 /// Memory of an open connection that has received nothing.
-constexpr int64_t ConnectionBytes = 3 << 10;
+constexpr int64_t ConnectionBytes = 3584;
 /// Time after which a refused caller finds room: the slowest of the others have
 /// ended by then.
 constexpr const char *RetryAfterFull = "1";
@@ -97,9 +97,10 @@
 }
 
 void CallerConnection::onBytes(absl::string_view Bytes) {
-  if (this->Discards)
+  bool IsClosing = !this->RequestActive && this->Parser == nullptr;
+  if (this->Discards || IsClosing)
     return;
-  if (this->RequestActive) {
+  if (this->RequestActive || this->AwaitsReader) {
     this->Buffer.append(Bytes.data(), Bytes.size());
     if (this->Buffer.size() > MaxBufferedBytes || !this->admits(0))
       this->Transport->pauseReading();
@@ -331,6 +332,7 @@
                        this->Parser->keepAlive());
     return;
   }
+  this->Transport->resumeReading();
   if (!HadStarted && !(this->Buffer.empty() && !this->Parser->hasStarted()))
     this->startTimeout(this->Limits.HeaderTimeout);
   if (this->Parser->headDone()) {
@@ -349,6 +351,9 @@
   this->setMayEnd(false);
   this->ActiveBytes = memoryOf(Request);
   this->updateInput();
+  // Detects that the caller leaves.
+  if (this->Buffer.size() <= MaxBufferedBytes && !this->Discards)
+    this->Transport->resumeReading();
   Request.ArrivedAt = this->Hooks.Timer->now();
   this->HeadOnly = Request.Method == "HEAD";
   RequestHandler Handler = this->Hooks.Handler;
@@ -413,14 +418,19 @@
 }
 
 void CallerConnection::takeNextRequest() {
-  this->Transport->resumeReading();
-  // Deferred to avoid recursion: a pipelined request may be answered
-  // synchronously.
-  if (!this->Buffer.empty())
-    boost::asio::post(this->Loop, [Self = this->shared_from_this()] {
-      if (!Self->RequestActive && Self->Transport->isOpen())
-        Self->parse("");
-    });
+  if (this->Buffer.empty()) {
+    this->Transport->resumeReading();
+    return;
+  }
+  // Reads nothing more until what was received is used: reading may be faster
+  // than answering. Deferred to avoid recursion: a pipelined request may be
+  // answered synchronously.
+  this->Transport->pauseReading();
+  boost::asio::post(this->Loop, [Self = this->shared_from_this()] {
+    if (!Self->RequestActive && !Self->AwaitsReader &&
+        Self->Parser != nullptr && Self->Transport->isOpen())
+      Self->parse("");
+  });
 }
 
 void CallerConnection::startTimeout(absl::Duration Timeout) {
--- a/test/hostile_edge_test.cpp
+++ b/test/hostile_edge_test.cpp
@@ -156,6 +156,7 @@
         return Caller.hasCompleteAnswer() || Caller.isClosed() ||
                (Which == Listener::Tunnels && Caller.status() != 0);
       });
+      UNSCOPED_INFO(Caller.received());
       if (Caller.status() != 503)
         return Caller.status();
       this->runFor(absl::Seconds(1));
--- a/test/memory_account_test.cpp
+++ b/test/memory_account_test.cpp
@@ -110,6 +110,19 @@
   CHECK(Account.nextToEnd(at(2000)) == 2U);
 }
 
+TEST_CASE("A request that is being received ends before one that keeps up at a "
+          "replica") {
+  MemoryAccount Account(smallBounds());
+  Holder Sent = reader(1);
+  Holder Flood = reader(2);
+  Sent.Kind = HeldKind::ReplicaOutput;
+  Flood.Kind = HeldKind::CallerInput;
+  Account.set(Sent, 100 * Kilobyte, at(0));
+  Account.set(Flood, 600 * Kilobyte, at(5));
+  Account.set(Flood, 1000 * Kilobyte, at(9));
+  CHECK(Account.nextToEnd(at(10)) == 2U);
+}
+
 TEST_CASE("One owner's slow readers end at its share and leave room for the "
           "others") {
   MemoryAccount Account(smallBounds());
--- a/test/slow_reader_test.cpp
+++ b/test/slow_reader_test.cpp
@@ -232,6 +232,31 @@
   CHECK(this->Requests.size() == Count);
 }
 
+TEST_CASE_METHOD(HeldFixture,
+                 "Pipelined requests are not received faster than answered") {
+  SlowCaller Fast(this->Loop, this->address());
+  std::string Pipeline;
+  while (Pipeline.size() < (200U << 10))
+    Pipeline += GetRequest;
+  Fast.Socket.non_blocking(true);
+  int64_t Peak = 0;
+  size_t Sent = 0;
+  for (int Round = 0; Round < 300; ++Round) {
+    ErrorCode Ignored;
+    Sent += Fast.Socket.write_some(
+        boost::asio::buffer(Pipeline.data() + Sent, Pipeline.size() - Sent),
+        Ignored);
+    this->Loop.restart();
+    this->Loop.poll_one();
+    for (const ResponderPtr &Responder : std::exchange(this->Responders, {}))
+      Responder->sendWhole(okHead(), "", false);
+    Peak = std::max(Peak, this->account().of(HeldKind::CallerInput));
+  }
+  CHECK(this->Requests.size() > 50);
+  CHECK(Peak > 0);
+  CHECK(Peak < 100 << 10);
+}
+
 TEST_CASE_METHOD(HeldFixture,
                  "A body is refused at once when memory is short") {
   HeldBytes Others(this->Memory, HeldKind::Answer);
