Let connections close for new ones while a refusal is unread

After a refusal a connection is kept for up to 2 s, so that its caller reads the answer. Such connections could not close for new ones, so that malformed requests took all places of a host for that time. Found by reading; the test 'A connection whose caller does not read a refusal closes for a new one' and two others state which connection closes.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -264,17 +264,18 @@
   this->updateInput();
   this->Input.identify(0, "");
   this->setMayEnd(true);
+  this->startWaiting();
   this->startTimeout(this->Limits.IdleTimeout);
 }
 
+void CallerConnection::startWaiting() {
+  this->Slot.startWaiting([Weak = this->weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->closeNow();
+  });
+}
+
 void CallerConnection::setMayEnd(bool MayEnd) {
-  if (MayEnd)
-    this->Slot.startWaiting([Weak = this->weak_from_this()] {
-      if (auto Self = Weak.lock())
-        Self->closeNow();
-    });
-  else
-    this->Slot.stopWaiting();
   for (HeldBytes *Held : {&this->Connection, &this->Input}) {
     if (!MayEnd) {
       Held->setEnd(nullptr);
@@ -349,6 +350,7 @@
   this->KeepAlive = MayKeepAlive;
   this->Parser.reset();
   this->setMayEnd(false);
+  this->Slot.stopWaiting();
   this->ActiveBytes = memoryOf(Request);
   this->updateInput();
   // Detects that the caller leaves.
@@ -388,6 +390,8 @@
     freeMemory(this->Buffer);
     this->ActiveBytes = 0;
     this->updateInput();
+    // Waits for the caller to read the answer.
+    this->startWaiting();
   }
   if (Close && this->Discards) {
     this->startTimeout(DiscardTime);
--- a/src/serving/caller_connection.h
+++ b/src/serving/caller_connection.h
@@ -72,7 +72,10 @@
   void refuseBody();
   void refuseHead();
   void awaitRequest();
+  /// Whether what was received may be given up for want of memory.
   void setMayEnd(bool MayEnd);
+  /// The connection may close for a new one until the next request is complete.
+  void startWaiting();
   /// Parses what is left of earlier bytes, then \p Bytes.
   void parse(absl::string_view Bytes);
   ParseFault feed(absl::string_view Bytes);
--- a/test/listener_test.cpp
+++ b/test/listener_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <thread>
 
 using namespace berylramp;
@@ -97,6 +98,82 @@
   CHECK(this->Listener.connections() == 0);
 }
 
+namespace {
+
+/// A listener of at most three connections, whose requests stay unanswered.
+struct LimitedFixture {
+  LimitedFixture()
+      : Timer(Loop),
+        Listener(
+            Loop, Timer, [] { return CallerLimits(); },
+            [this](const CallerRequest &, const ResponderPtr &Responder) {
+              this->Responders.push_back(Responder);
+            },
+            makeServingBounds(Loop, Timer, Counters, MemoryBounds(), 3)) {
+    REQUIRE(this->Listener.listen({"127.0.0.1", 0}).ok());
+  }
+
+  tcp::socket &connect(const std::string &Bytes) {
+    this->Callers.emplace_back(this->CallerLoop);
+    this->Callers.back().connect(
+        {boost::asio::ip::address_v4::loopback(),
+         static_cast<uint16_t>(this->Listener.port())});
+    boost::asio::write(this->Callers.back(), boost::asio::buffer(Bytes));
+    this->Loop.restart();
+    this->Loop.run_for(std::chrono::milliseconds(20));
+    return this->Callers.back();
+  }
+
+  bool isClosed(size_t Index) {
+    boost::system::error_code Error;
+    char Byte = 0;
+    this->Callers[Index].non_blocking(true);
+    this->Callers[Index].read_some(boost::asio::buffer(&Byte, 1), Error);
+    return Error && Error != boost::asio::error::would_block;
+  }
+
+  boost::asio::io_context Loop;
+  boost::asio::io_context CallerLoop;
+  LoopTimer Timer;
+  Metrics Counters;
+  std::vector<ResponderPtr> Responders;
+  HttpListener Listener;
+  std::deque<tcp::socket> Callers;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LimitedFixture, "The connection that has waited longest for "
+                                 "its caller closes for a new one") {
+  this->connect(Request);
+  this->connect("GET /incomplete");
+  this->connect("");
+  this->connect(Request);
+  CHECK_FALSE(this->isClosed(0));
+  CHECK(this->isClosed(1));
+  CHECK_FALSE(this->isClosed(2));
+  CHECK(this->Responders.size() == 2);
+}
+
+TEST_CASE_METHOD(LimitedFixture, "A connection whose caller does not read a "
+                                 "refusal closes for a new one") {
+  for (int Index = 0; Index < 3; ++Index)
+    this->connect("malformed\r\n\r\n");
+  CHECK(this->Listener.connections() == 3);
+  this->connect(Request);
+  CHECK(this->Responders.size() == 1);
+  CHECK(this->Listener.connections() == 3);
+}
+
+TEST_CASE_METHOD(LimitedFixture, "A new connection closes when all others have "
+                                 "requests in progress") {
+  for (int Index = 0; Index < 4; ++Index)
+    this->connect(Request);
+  CHECK(this->Responders.size() == 3);
+  CHECK(this->isClosed(3));
+  CHECK_FALSE(this->isClosed(0));
+}
+
 TEST_CASE("A timer whose handler is already queued can be cancelled") {
   boost::asio::io_context Loop;
   CancellableTimer First(Loop);
