Accept connections in one place, and log when it fails

The listeners and the tunnel server repeated the same loop; AcceptLoop has it with the bound, the pause after a failure and a log line (accept_failed).

--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -10,6 +10,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "accept_loop.h"
 #include "cancellable_timer.h"
 #include "channel.h"
 
@@ -18,11 +19,8 @@
 namespace {
 
 using boost::asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
 
 constexpr int AcceptBacklog = 256;
-/// Time until the next attempt after a connection could not be accepted.
-constexpr absl::Duration AcceptRetryDelay = absl::Milliseconds(100);
 constexpr size_t MaxUnsentBytes = 64U << 10;
 /// Limit on the header of a request for a tunnel, which other hosts send. It
 /// has no body.
@@ -349,43 +347,12 @@
 
 struct TunnelServer::State : std::enable_shared_from_this<State> {
   State(boost::asio::io_context &Loop, TimerService &Timer, TunnelHooks Hooks)
-      : Loop(Loop), Timer(Timer), Hooks(std::move(Hooks)), Acceptor(Loop),
-        RetryTimer(Loop) {}
-
-  void accept() {
-    auto Self = this->shared_from_this();
-    this->Acceptor.async_accept(
-        [Self](const ErrorCode &Error, tcp::socket Socket) {
-          if (!Self->Acceptor.is_open())
-            return;
-          if (Error) {
-            Self->retryAccept();
-            return;
-          }
-          Self->open(std::move(Socket));
-          Self->accept();
-        });
-  }
-
-  void retryAccept() {
-    if (this->Hooks.Connections != nullptr)
-      this->Hooks.Connections->endLongestWaiting();
-    this->RetryTimer.set(AcceptRetryDelay, [Weak = this->weak_from_this()] {
-      auto Self = Weak.lock();
-      if (Self && Self->Acceptor.is_open())
-        Self->accept();
-    });
-  }
+      : Loop(Loop), Timer(Timer), Hooks(std::move(Hooks)) {}
 
   void open(tcp::socket Socket) {
-    // Without room, the socket is closed.
-    if (this->Hooks.Connections != nullptr &&
-        !this->Hooks.Connections->makeRoom())
-      return;
-    std::weak_ptr<State> Weak = this->weak_from_this();
     auto Opened = std::make_shared<Tunnel>(
         this->Loop, this->Timer, this->Hooks, std::move(Socket),
-        [Weak](const std::shared_ptr<Tunnel> &Ended) {
+        [Weak = this->weak_from_this()](const std::shared_ptr<Tunnel> &Ended) {
           if (auto Server = Weak.lock())
             Server->Tunnels.erase(Ended);
         });
@@ -396,30 +363,30 @@
   boost::asio::io_context &Loop;
   TimerService &Timer;
   TunnelHooks Hooks;
-  tcp::acceptor Acceptor;
-  CancellableTimer RetryTimer;
+  std::shared_ptr<AcceptLoop> Accepting;
   std::set<std::shared_ptr<Tunnel>> Tunnels;
 };
 
 TunnelServer::TunnelServer(boost::asio::io_context &Loop, TimerService &Timer,
                            TunnelHooks Hooks)
-    : Shared(std::make_shared<State>(Loop, Timer, std::move(Hooks))) {}
+    : Shared(std::make_shared<State>(Loop, Timer, std::move(Hooks))) {
+  this->Shared->Accepting = std::make_shared<AcceptLoop>(
+      Loop, this->Shared->Hooks.Connections,
+      [Weak = std::weak_ptr<State>(this->Shared)](tcp::socket Socket) {
+        if (auto Self = Weak.lock())
+          Self->open(std::move(Socket));
+      });
+}
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
 TunnelServer::~TunnelServer() { this->close(); }
 
 absl::Status TunnelServer::listen(const Endpoint &ListenAddress) {
-  absl::Status Opened =
-      openAcceptor(this->Shared->Acceptor, ListenAddress, AcceptBacklog);
-  if (Opened.ok())
-    this->Shared->accept();
-  return Opened;
+  return this->Shared->Accepting->listen(ListenAddress, AcceptBacklog);
 }
 
 void TunnelServer::close() {
-  ErrorCode Ignored;
-  this->Shared->Acceptor.close(Ignored);
-  this->Shared->RetryTimer.cancel();
+  this->Shared->Accepting->close();
   auto Open = this->Shared->Tunnels;
   for (const auto &OpenTunnel : Open)
     OpenTunnel->end();
--- a/src/serving/channel.cpp
+++ b/src/serving/channel.cpp
@@ -8,7 +8,6 @@
 
 #include "channel.h"
 
-#include "absl/strings/str_cat.h"
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -34,31 +33,6 @@
 
 } // namespace
 
-absl::Status openAcceptor(tcp::acceptor &Acceptor,
-                          const Endpoint &ListenAddress, int Backlog) {
-  ErrorCode Error;
-  auto Fail = [&](const char *Operation) {
-    return absl::UnavailableError(absl::StrCat(
-        Operation, " ", ListenAddress.text(), " failed: ", Error.message(),
-        "; free the address or correct it in the settings file"));
-  };
-  auto Address = boost::asio::ip::make_address_v4(ListenAddress.Ip, Error);
-  if (Error)
-    return Fail("reading the address");
-  Acceptor.open(tcp::v4(), Error);
-  if (Error)
-    return Fail("opening a socket for");
-  Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  Acceptor.bind(
-      tcp::endpoint(Address, static_cast<uint16_t>(ListenAddress.Port)), Error);
-  if (Error)
-    return Fail("binding");
-  Acceptor.listen(Backlog, Error);
-  if (Error)
-    return Fail("listening at");
-  return absl::OkStatus();
-}
-
 void Channel::configureSocket() {
   ErrorCode Ignored;
   this->Socket.non_blocking(true, Ignored);
--- a/src/serving/channel.h
+++ b/src/serving/channel.h
@@ -57,11 +57,6 @@
   virtual void onDrained() {}
 };
 
-/// Opens \p Acceptor at \p ListenAddress for up to \p Backlog connections that
-/// wait to be accepted.
-absl::Status openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
-                          const Endpoint &ListenAddress, int Backlog);
-
 class Channel : public std::enable_shared_from_this<Channel> {
 public:
   explicit Channel(boost::asio::io_context &Loop) : Socket(Loop) {}
--- a/src/serving/listener.cpp
+++ b/src/serving/listener.cpp
@@ -1,5 +1,6 @@
 //===- listener.cpp - Accepts connections of callers ----------------------===//
 
+#include "accept_loop.h"
 #include "caller_connection.h"
 
 #include <unordered_set>
@@ -10,10 +11,6 @@
 
 using boost::asio::ip::tcp;
 
-/// Time until the next attempt after a connection could not be accepted, for
-/// want of descriptors for example.
-constexpr absl::Duration AcceptRetryDelay = absl::Milliseconds(100);
-
 /// Connections that may wait to be accepted; sized for the burst of reconnects
 /// after another host has failed.
 constexpr int AcceptBacklog = 1024;
@@ -22,13 +19,10 @@
 
 struct HttpListener::State : std::enable_shared_from_this<State> {
   State(boost::asio::io_context &Loop, TimerService &Timer)
-      : Acceptor(Loop), RetryTimer(Loop), Loop(Loop), Timer(Timer) {}
-  void accept();
+      : Loop(Loop), Timer(Timer) {}
   void open(tcp::socket Socket);
-  void retryAccept();
 
-  tcp::acceptor Acceptor;
-  CancellableTimer RetryTimer;
+  std::shared_ptr<AcceptLoop> Accepting;
   boost::asio::io_context &Loop;
   TimerService &Timer;
   std::function<CallerLimits()> Limits;
@@ -40,36 +34,7 @@
   std::unordered_set<std::shared_ptr<ChannelListener>> Connections;
 };
 
-void HttpListener::State::accept() {
-  auto Self = this->shared_from_this();
-  this->Acceptor.async_accept(
-      [Self](const boost::system::error_code &Error, tcp::socket Socket) {
-        if (!Self->Acceptor.is_open())
-          return;
-        if (Error) {
-          Self->retryAccept();
-          return;
-        }
-        Self->open(std::move(Socket));
-        Self->accept();
-      });
-}
-
-void HttpListener::State::retryAccept() {
-  // At once, the loop would do nothing else while the descriptors are used up.
-  if (this->Limit != nullptr)
-    this->Limit->endLongestWaiting();
-  this->RetryTimer.set(AcceptRetryDelay, [Weak = this->weak_from_this()] {
-    auto Self = Weak.lock();
-    if (Self && Self->Acceptor.is_open())
-      Self->accept();
-  });
-}
-
 void HttpListener::State::open(tcp::socket Socket) {
-  // Without room, the socket is closed.
-  if (this->Limit != nullptr && !this->Limit->makeRoom())
-    return;
   CallerConnection::ListenerHooks Hooks;
   Hooks.Limits = this->Limits;
   Hooks.Handler = this->Handler;
@@ -109,17 +74,19 @@
   this->Shared->Handler = std::move(Handler);
   this->Shared->Memory = std::move(Bounds.Memory);
   this->Shared->Limit = std::move(Bounds.Connections);
+  this->Shared->Accepting = std::make_shared<AcceptLoop>(
+      Loop, this->Shared->Limit,
+      [Weak = std::weak_ptr<State>(this->Shared)](tcp::socket Socket) {
+        if (auto Self = Weak.lock())
+          Self->open(std::move(Socket));
+      });
 }
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only if memory is exhausted.
 HttpListener::~HttpListener() { this->close(); }
 
 absl::Status HttpListener::listen(const Endpoint &ListenAddress) {
-  absl::Status Opened =
-      openAcceptor(this->Shared->Acceptor, ListenAddress, AcceptBacklog);
-  if (Opened.ok())
-    this->Shared->accept();
-  return Opened;
+  return this->Shared->Accepting->listen(ListenAddress, AcceptBacklog);
 }
 
 void HttpListener::startDraining() { this->Shared->Draining = true; }
@@ -129,11 +96,7 @@
   this->Shared->AddRefusalBody = std::move(Call);
 }
 
-void HttpListener::stopAccepting() {
-  boost::system::error_code Ignored;
-  this->Shared->Acceptor.close(Ignored);
-  this->Shared->RetryTimer.cancel();
-}
+void HttpListener::stopAccepting() { this->Shared->Accepting->close(); }
 
 void HttpListener::close() {
   this->stopAccepting();
@@ -155,9 +118,6 @@
   return Count;
 }
 
-int HttpListener::port() const {
-  boost::system::error_code Ignored;
-  return this->Shared->Acceptor.local_endpoint(Ignored).port();
-}
+int HttpListener::port() const { return this->Shared->Accepting->port(); }
 
 } // namespace berylramp
