--- a/include/berylramp/serving.h
+++ b/include/berylramp/serving.h
@@ -1,5 +1,4 @@
-//===- serving.h - Event-driven HTTP/1.1 server ------------------*- C++
-//-*-===//
+//===- serving.h - Event-driven HTTP/1.1 server -----------------*- C++ -*-===//
 //
 // Non-blocking connections from callers on one Boost.Asio event loop. What they
 // hold is counted from the first byte, and their number is bounded.
