Hash only the names that a Connection field lists

Cause: since each forwarded request hashed some twenty fixed names and every field, with an allocation for names of over 15 bytes, to make the look-up of listed names independent of their number.

Change: the fixed names are compared one after the other again; only what a Connection field lists is hashed, and nothing when there is none.

--- a/src/exchange/forwarding.cpp
+++ b/src/exchange/forwarding.cpp
@@ -16,20 +16,16 @@
 
 namespace {
 
-/// Names of fields in any case. A look-up does not depend on their number: a
-/// caller may name thousands.
-class FieldNames {
+/// The fields that Connection headers list; they are hop-by-hop. A look-up does
+/// not depend on their number: a caller may list thousands.
+class ConnectionOptions {
 public:
-  void add(absl::string_view Name) {
-    this->Hashes.insert(hashOf(absl::StripAsciiWhitespace(Name)));
-  }
-  /// Adds the fields that a Connection header lists; they are hop-by-hop.
-  void addOptions(absl::string_view Value) {
+  void add(absl::string_view Value) {
     for (absl::string_view Part : absl::StrSplit(Value, ','))
-      this->add(Part);
+      this->Hashes.insert(hashOf(absl::StripAsciiWhitespace(Part)));
   }
   bool contains(absl::string_view Name) const {
-    return this->Hashes.contains(hashOf(Name));
+    return !this->Hashes.empty() && this->Hashes.contains(hashOf(Name));
   }
 
 private:
@@ -39,6 +35,14 @@
   absl::flat_hash_set<uint64_t> Hashes;
 };
 
+bool containsName(const std::vector<absl::string_view> &Names,
+                  absl::string_view Name) {
+  return std::any_of(Names.begin(), Names.end(),
+                     [&](absl::string_view Candidate) {
+                       return absl::EqualsIgnoreCase(Candidate, Name);
+                     });
+}
+
 constexpr absl::string_view ConnectionField = "Connection";
 
 /// A replica that needs a longer pause is replaced.
@@ -70,26 +74,24 @@
 std::string forwardedHead(const CallerRequest &Request,
                           const HeaderNames &Names,
                           const ForwardOverrides &Overrides) {
-  FieldNames Dropped;
+  ConnectionOptions Options;
   for (const HeaderBlock::Field &Field : Request.Headers)
     if (absl::EqualsIgnoreCase(Field.Name, ConnectionField))
-      Dropped.addOptions(Field.Value);
-  for (const std::string &Name : Names.Reserved)
-    Dropped.add(Name);
-  for (absl::string_view Name :
-       {absl::string_view("Content-Length"), absl::string_view("Expect"),
-        absl::string_view("Authorization"), absl::string_view(Names.DeadlineMs),
-        absl::string_view(Names.ExpectReplica),
-        absl::string_view(Names.Workspace), absl::string_view(Names.Urgency)})
-    Dropped.add(Name);
+      Options.add(Field.Value);
+  std::vector<absl::string_view> Dropped(Names.Reserved.begin(),
+                                         Names.Reserved.end());
+  Dropped.insert(Dropped.end(),
+                 {"Content-Length", "Expect", "Authorization", Names.DeadlineMs,
+                  Names.ExpectReplica, Names.Workspace, Names.Urgency});
   if (!Overrides.Model.empty())
-    Dropped.add(Names.Model);
+    Dropped.push_back(Names.Model);
   if (Overrides.LastEventId >= 0)
-    Dropped.add(Names.LastEventId);
+    Dropped.push_back(Names.LastEventId);
   std::string Message =
       absl::StrCat(Request.Method, " ", Request.Target, " HTTP/1.1\r\n");
   for (const HeaderBlock::Field &Field : Request.Headers)
-    if (!isHopByHop(Field.Name) && !Dropped.contains(Field.Name))
+    if (!isHopByHop(Field.Name) && !containsName(Dropped, Field.Name) &&
+        !Options.contains(Field.Name))
       absl::StrAppend(&Message, Field.Line);
   std::vector<HeaderField> Fields;
   Fields.emplace_back(Names.DeadlineMs, absl::StrCat(Overrides.DeadlineMs));
@@ -109,10 +111,10 @@
 }
 
 HttpHead relayedHead(const HttpHead &Head) {
-  FieldNames Dropped;
+  ConnectionOptions Options;
   for (const HeaderField &Field : Head.Headers)
     if (absl::EqualsIgnoreCase(Field.first, ConnectionField))
-      Dropped.addOptions(Field.second);
+      Options.add(Field.second);
   HttpHead Result;
   Result.Status = Head.Status;
   Result.Reason = Head.Reason;
@@ -120,7 +122,7 @@
     bool IsContentLength =
         absl::EqualsIgnoreCase(Field.first, "Content-Length");
     if (!IsContentLength && !isHopByHop(Field.first) &&
-        !Dropped.contains(Field.first))
+        !Options.contains(Field.first))
       Result.Headers.push_back(Field);
   }
   return Result;
