--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -106,7 +106,8 @@
     };
     this->Held.set(TunnelBytes);
     this->Held.setEnd(End);
-    this->Slot.startWaiting(End);
+    this->Slot.setEnd(End);
+    this->Slot.startWaiting();
     this->Host->setListener(this->HostSide);
     this->startTimeout(RequestTimeout, [](Tunnel &Self) { Self.end(); });
     this->Host->startAccepted();
--- a/src/serving/caller_connection.h
+++ b/src/serving/caller_connection.h
@@ -65,7 +65,9 @@
   /// Counts the memory of what was received and not released.
   void updateInput();
   void endSlowReader();
-  /// Frees what was received of a request, because the host holds too many
+  /// Frees what was received.
+  void releaseInput();
+  /// Gives up what was received of a request, because the host holds too many
   /// bytes. The caller is told to come back; an idle connection is closed.
   void refuseInput();
   /// Answers a request whose body is not received.
@@ -74,8 +76,6 @@
   void awaitRequest();
   /// Whether what was received may be given up for want of memory.
   void setMayEnd(bool MayEnd);
-  /// The connection may close for a new one until the next request is complete.
-  void startWaiting();
   /// Parses what is left of earlier bytes, then \p Bytes.
   void parse(absl::string_view Bytes);
   ParseFault feed(absl::string_view Bytes);
--- a/src/serving/connection_limit.cpp
+++ b/src/serving/connection_limit.cpp
@@ -34,10 +34,9 @@
     this->Limit->Open += 1;
 }
 
-void ConnectionSlot::startWaiting(std::function<void()> End) {
+void ConnectionSlot::startWaiting() {
   if (this->Limit == nullptr || this->IsWaiting)
     return;
-  this->OnEnd = std::move(End);
   auto &Waiting = this->Limit->Waiting;
   this->Position = Waiting.insert(Waiting.end(), this);
   this->IsWaiting = true;
--- a/src/serving/connection_limit.h
+++ b/src/serving/connection_limit.h
@@ -50,9 +50,11 @@
   ConnectionSlot(const ConnectionSlot &) = delete;
   ConnectionSlot &operator=(const ConnectionSlot &) = delete;
 
-  /// The client is to send something; until then \p End may be called, which
-  /// closes the connection. A wait that has begun goes on.
-  void startWaiting(std::function<void()> End);
+  /// \p Call closes the connection; it runs at most once, during a wait.
+  void setEnd(std::function<void()> Call) { this->OnEnd = std::move(Call); }
+  /// The client is to send or to read something; until then the connection may
+  /// close for a new one. A wait that has begun goes on.
+  void startWaiting();
   void stopWaiting();
   /// The connection is closed.
   void release();
--- a/src/serving/held_memory.cpp
+++ b/src/serving/held_memory.cpp
@@ -88,6 +88,13 @@
   this->update();
 }
 
+void HeldBytes::setMayEnd(bool MayEnd) {
+  bool Changed = this->Description.MayEnd != (MayEnd && this->OnEnd != nullptr);
+  this->Description.MayEnd = MayEnd && this->OnEnd != nullptr;
+  if (Changed)
+    this->update();
+}
+
 void HeldBytes::end() {
   std::function<void()> Call = std::exchange(this->OnEnd, nullptr);
   if (this->Memory != nullptr) {
--- a/src/serving/held_memory.h
+++ b/src/serving/held_memory.h
@@ -68,6 +68,8 @@
   /// \p Call frees the bytes; it runs at most once. Without it, the holder does
   /// not end.
   void setEnd(std::function<void()> Call);
+  /// Whether the function of setEnd() may be called now.
+  void setMayEnd(bool MayEnd);
   /// Logs and counts the end of a slow reader and calls the function.
   void end();
 
