Share the run and the checks of hostile crowds

Cause: both files of hostile tests had the same loop and the same checks.

Change: runCrowds() and checkLimits() have them once. Crowds, bounds and checks are the same; memory and descriptors are checked a second time after the ordinary request in both.

--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
 
 namespace berylramp {
 
@@ -15,6 +17,8 @@
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+/// How long a crowd is given to send what the daemon takes.
+constexpr std::chrono::seconds CrowdTime{8};
 constexpr size_t PieceCount = 12;
 constexpr std::chrono::milliseconds PiecePause{15};
 
@@ -116,6 +120,29 @@
                      [](const auto &Each) { return Each->IsDone; });
 }
 
+int runCrowds(boost::asio::io_context &Loop, const Crowds &All,
+              const ChildProcess &Daemon) {
+  auto Deadline = std::chrono::steady_clock::now() + CrowdTime;
+  int PeakDescriptors = 0;
+  bool AllDone = false;
+  while (!AllDone && std::chrono::steady_clock::now() < Deadline) {
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(50));
+    PeakDescriptors = std::max(PeakDescriptors, Daemon.descriptors());
+    AllDone = std::all_of(All.begin(), All.end(),
+                          [](const auto &Each) { return Each->isDone(); });
+  }
+  return PeakDescriptors;
+}
+
+void checkLimits(ChildProcess &Daemon, const HostLimits &Limits,
+                 int PeakDescriptors) {
+  CHECK(Daemon.isRunning());
+  CHECK(Daemon.peakMemory() > 0);
+  CHECK(Daemon.peakMemory() <= Limits.MemoryBytes);
+  CHECK(PeakDescriptors <= Limits.Descriptors);
+}
+
 std::string shortHeaderLines(size_t Bytes) {
   const std::string Line = "a:\r\n";
   std::string Result;
--- a/test/hostile_clients.h
+++ b/test/hostile_clients.h
@@ -10,6 +10,7 @@
 #define BERYLRAMP_TEST_HOSTILE_CLIENTS_H
 
 #include "berylramp/units.h"
+#include "process.h"
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -32,6 +33,12 @@
 /// Whether clients read answers.
 enum class Reading { Yes, No };
 
+/// The limits of a host.
+struct HostLimits {
+  int64_t MemoryBytes = 0;
+  int Descriptors = 0;
+};
+
 /// Clients that send the same bytes and keep their connections open.
 class Crowd {
 public:
@@ -48,6 +55,17 @@
   std::vector<std::shared_ptr<Client>> Clients;
 };
 
+using Crowds = std::vector<std::unique_ptr<Crowd>>;
+
+/// Lets \p All send until they are done, or for some seconds; returns the most
+/// descriptors that \p Daemon had open.
+int runCrowds(boost::asio::io_context &Loop, const Crowds &All,
+              const ChildProcess &Daemon);
+
+/// Checks that \p Daemon lives and stayed within \p Limits.
+void checkLimits(ChildProcess &Daemon, const HostLimits &Limits,
+                 int PeakDescriptors);
+
 /// The header lines of \p Bytes bytes: as many as fit, or with names and values
 /// of unusual forms.
 std::string shortHeaderLines(size_t Bytes);
--- a/test/hostile_edge_test.cpp
+++ b/test/hostile_edge_test.cpp
@@ -50,8 +50,6 @@
 constexpr int UnreadCrowd = 20;
 constexpr int DescriptorCrowd = 500;
 constexpr int EarlyBytesCrowd = 4;
-/// How long the crowd is given to send what the daemon takes.
-constexpr absl::Duration CrowdTime = absl::Seconds(8);
 /// Repeats of an ordinary request that the daemon asked to come back.
 constexpr int MaxReturns = 10;
 
@@ -59,8 +57,7 @@
 public:
   void startProcess(int64_t Megabytes = HostMegabytes,
                     int Descriptors = HostDescriptors) {
-    this->MemoryBound = Megabytes << 20;
-    this->DescriptorBound = Descriptors;
+    this->Limits = {Megabytes << 20, Descriptors};
     this->MetricsPort = standin::findFreePort();
     this->WorkFolder = std::filesystem::temp_directory_path() /
                        absl::StrCat("berylramp-hostile-", getpid());
@@ -132,18 +129,9 @@
     return absl::StrCat(Method, " ", Target, " HTTP/1.1\r\nHost: x\r\n");
   }
 
-  /// Lets the crowds send until they are done, or for CrowdTime.
-  void runCrowds(const std::vector<std::unique_ptr<Crowd>> &Crowds) {
-    Instant Deadline = this->Timer.now() + CrowdTime;
-    bool AllDone = false;
-    while (!AllDone && this->Timer.now() < Deadline) {
-      this->runFor(absl::Milliseconds(50));
-      this->PeakDescriptors =
-          std::max(this->PeakDescriptors, this->Process->descriptors());
-      AllDone = true;
-      for (const auto &Each : Crowds)
-        AllDone = AllDone && Each->isDone();
-    }
+  void runCrowds(const Crowds &All) {
+    this->PeakDescriptors =
+        berylramp::runCrowds(this->Loop, All, *this->Process);
   }
 
   /// Sends \p Request on a new connection until it is not asked to come back;
@@ -166,16 +154,12 @@
 
   /// The daemon lives, stayed within its bounds and serves ordinary requests.
   void checkWithstood(Listener Which) {
-    CHECK(this->Process->isRunning());
-    CHECK(this->Process->peakMemory() > 0);
-    CHECK(this->Process->peakMemory() <= this->MemoryBound);
-    CHECK(this->PeakDescriptors <= this->DescriptorBound);
+    checkLimits(*this->Process, this->Limits, this->PeakDescriptors);
     CHECK(this->ask(Listener::Frontend, makeRequest("/safe/a", "ordinary", "",
                                                     "x", "key-1")) == 200);
     if (Which != Listener::Frontend)
       CHECK(this->ask(Which, this->requestHead(Which, "GET") + "\r\n") == 200);
-    CHECK(this->Process->isRunning());
-    CHECK(this->Process->peakMemory() <= this->MemoryBound);
+    checkLimits(*this->Process, this->Limits, this->PeakDescriptors);
   }
 
   std::unique_ptr<ChildProcess> Process;
@@ -205,8 +189,7 @@
 
   std::filesystem::path WorkFolder;
   int MetricsPort = 0;
-  int64_t MemoryBound = 0;
-  int DescriptorBound = 0;
+  HostLimits Limits;
   int PeakDescriptors = 0;
 };
 
@@ -223,19 +206,19 @@
   std::string Head =
       absl::StrCat(Host.requestHead(Which), "Content-Length: 10\r\n");
   size_t Rest = MaxHeaderBytes - UsualHeaderBytes;
-  std::vector<std::unique_ptr<Crowd>> Crowds;
+  Crowds All;
   for (const std::string &Lines :
        {shortHeaderLines(Rest), oddHeaderLines(Rest)})
     for (Delivery How : AllDeliveries)
-      Crowds.push_back(std::make_unique<Crowd>(
+      All.push_back(std::make_unique<Crowd>(
           Host.Loop, Host.address(Which),
           absl::StrCat(Head, Lines, "\r\n0123456789"), HeaderCrowd, How));
   // The header of these requests is not complete.
-  Crowds.push_back(std::make_unique<Crowd>(
+  All.push_back(std::make_unique<Crowd>(
       Host.Loop, Host.address(Which),
       absl::StrCat(Head, shortHeaderLines(Rest), "\r\n"), HeaderCrowd,
       Delivery::ShortOfEnd));
-  Host.runCrowds(Crowds);
+  Host.runCrowds(All);
   Host.checkWithstood(Which);
 }
 
@@ -251,12 +234,12 @@
                    std::string(MaxBodyBytes, 'x'));
   std::string Chunked = absl::StrCat(Head, "Transfer-Encoding: chunked\r\n\r\n",
                                      chunkedBody(MaxBodyBytes, 1000));
-  std::vector<std::unique_ptr<Crowd>> Crowds;
+  Crowds All;
   for (const std::string &Payload : {Announced, Chunked})
     for (Delivery How : AllDeliveries)
-      Crowds.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which),
-                                               Payload, BodyCrowd, How));
-  Host.runCrowds(Crowds);
+      All.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which),
+                                            Payload, BodyCrowd, How));
+  Host.runCrowds(All);
   Host.checkWithstood(Which);
 }
 
@@ -264,11 +247,11 @@
                        ((Listener Which), Which), ALL_LISTENERS) {
   HostileFixture Host;
   Host.startProcess(HostMegabytes, FewDescriptors);
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(
-      Host.Loop, Host.address(Which), Host.requestHead(Which), DescriptorCrowd,
-      Delivery::ShortOfEnd));
-  Host.runCrowds(Crowds);
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which),
+                                        Host.requestHead(Which),
+                                        DescriptorCrowd, Delivery::ShortOfEnd));
+  Host.runCrowds(All);
   Host.checkWithstood(Which);
 }
 
@@ -276,12 +259,11 @@
                        ((Listener Which), Which), ALL_LISTENERS) {
   HostileFixture Host;
   Host.startProcess(HostMegabytes, FewDescriptors);
-  std::vector<std::unique_ptr<Crowd>> Crowds;
+  Crowds All;
   // One byte short of one byte: these clients send nothing.
-  Crowds.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which), "G",
-                                           DescriptorCrowd,
-                                           Delivery::ShortOfEnd));
-  Host.runCrowds(Crowds);
+  All.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which), "G",
+                                        DescriptorCrowd, Delivery::ShortOfEnd));
+  Host.runCrowds(All);
   Host.checkWithstood(Which);
 }
 
@@ -296,11 +278,11 @@
   std::string Payload;
   while (Payload.size() < PipelinedBytes)
     Payload += Request;
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which),
-                                           Payload, UnreadCrowd,
-                                           Delivery::Whole, Reading::No));
-  Host.runCrowds(Crowds);
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(Host.Loop, Host.address(Which), Payload,
+                                        UnreadCrowd, Delivery::Whole,
+                                        Reading::No));
+  Host.runCrowds(All);
   Host.checkWithstood(Which);
 }
 
@@ -313,13 +295,13 @@
   Host.PlainReplicas[0]->AdvertisedAddress = Silent->address();
   Host.startProcess();
   constexpr size_t EarlyBytes = 96U << 20;
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(
       Host.Loop, Host.address(Listener::Tunnels),
       absl::StrCat(Host.requestHead(Listener::Tunnels), "\r\n",
                    std::string(EarlyBytes, 'x')),
       EarlyBytesCrowd, Delivery::Whole));
-  Host.runCrowds(Crowds);
+  Host.runCrowds(All);
   Host.checkWithstood(Listener::Metrics);
 }
 
@@ -330,13 +312,13 @@
   while (Body.size() + 3 < MaxBodyBytes)
     Body += ",0";
   Body += "]";
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(
       Host.Loop, Host.address(Listener::ControlPlane),
       absl::StrCat(Host.requestHead(Listener::ControlPlane),
                    "Content-Length: ", Body.size(), "\r\n\r\n", Body),
       1, Delivery::Whole));
-  Host.runCrowds(Crowds);
+  Host.runCrowds(All);
   Host.checkWithstood(Listener::ControlPlane);
 }
 
--- a/test/hostile_entry_test.cpp
+++ b/test/hostile_entry_test.cpp
@@ -33,7 +33,6 @@
 constexpr int BodyCrowd = 60;
 constexpr int DescriptorCrowd = 500;
 constexpr int ValuesCrowd = 8;
-constexpr absl::Duration CrowdTime = absl::Seconds(8);
 /// Repeats of an ordinary request that the daemon asked to come back.
 constexpr int MaxReturns = 20;
 
@@ -48,8 +47,9 @@
 class HostileEntryFixture {
 public:
   explicit HostileEntryFixture(int Descriptors = HostDescriptors)
-      : Fleet(1), Pool(std::make_shared<HttpClientPool>()),
-        DescriptorBound(Descriptors) {
+      : Fleet(1),
+        Pool(std::make_shared<HttpClientPool>()), Limits{HostMegabytes << 20,
+                                                         Descriptors} {
     this->Address = {"127.0.0.1", freePort()};
     this->WorkFolder = std::filesystem::temp_directory_path() /
                        absl::StrCat("berylramp-hostile-entry-", getpid());
@@ -75,25 +75,13 @@
                         test::CallerKey, "\r\n");
   }
 
-  void runCrowds(const std::vector<std::unique_ptr<Crowd>> &Crowds) {
-    absl::Time Deadline = absl::Now() + CrowdTime;
-    bool AllDone = false;
-    while (!AllDone && absl::Now() < Deadline) {
-      this->Loop.restart();
-      this->Loop.run_for(std::chrono::milliseconds(50));
-      this->PeakDescriptors =
-          std::max(this->PeakDescriptors, this->Process->descriptors());
-      AllDone = true;
-      for (const auto &Each : Crowds)
-        AllDone = AllDone && Each->isDone();
-    }
+  void runCrowds(const Crowds &All) {
+    this->PeakDescriptors =
+        berylramp::runCrowds(this->Loop, All, *this->Process);
   }
 
   void checkWithstood() {
-    CHECK(this->Process->isRunning());
-    CHECK(this->Process->peakMemory() > 0);
-    CHECK(this->Process->peakMemory() <= HostMegabytes << 20);
-    CHECK(this->PeakDescriptors <= this->DescriptorBound);
+    checkLimits(*this->Process, this->Limits, this->PeakDescriptors);
     int Status = 503;
     for (int Try = 0; Try < MaxReturns && Status == 503; ++Try) {
       if (Try > 0)
@@ -101,8 +89,7 @@
       Status = this->askChat();
     }
     CHECK(Status == 200);
-    CHECK(this->Process->isRunning());
-    CHECK(this->Process->peakMemory() <= HostMegabytes << 20);
+    checkLimits(*this->Process, this->Limits, this->PeakDescriptors);
   }
 
   /// The status of the answer to an ordinary request; 0 if there is none.
@@ -143,7 +130,7 @@
   std::filesystem::path WorkFolder;
   std::unique_ptr<ChildProcess> Process;
   int Asked = 0;
-  int DescriptorBound = 0;
+  HostLimits Limits;
   int PeakDescriptors = 0;
 };
 
@@ -153,18 +140,18 @@
   HostileEntryFixture Host;
   std::string Head = absl::StrCat(Host.requestHead(), "Content-Length: 10\r\n");
   size_t Rest = MaxHeaderBytes - UsualHeaderBytes;
-  std::vector<std::unique_ptr<Crowd>> Crowds;
+  Crowds All;
   for (const std::string &Lines :
        {shortHeaderLines(Rest), oddHeaderLines(Rest)})
     for (Delivery How : AllDeliveries)
-      Crowds.push_back(std::make_unique<Crowd>(
+      All.push_back(std::make_unique<Crowd>(
           Host.Loop, Host.Address, absl::StrCat(Head, Lines, "\r\n0123456789"),
           HeaderCrowd, How));
-  Crowds.push_back(std::make_unique<Crowd>(
+  All.push_back(std::make_unique<Crowd>(
       Host.Loop, Host.Address,
       absl::StrCat(Head, shortHeaderLines(EndlessHeaderBytes)),
       EndlessHeaderCrowd, Delivery::Whole));
-  Host.runCrowds(Crowds);
+  Host.runCrowds(All);
   Host.checkWithstood();
 }
 
@@ -176,22 +163,22 @@
   std::string Chunked =
       absl::StrCat(Host.requestHead(), "Transfer-Encoding: chunked\r\n\r\n",
                    chunkedBody(MaxBodyBytes, 1000));
-  std::vector<std::unique_ptr<Crowd>> Crowds;
+  Crowds All;
   for (const std::string &Payload : {Announced, Chunked})
     for (Delivery How : AllDeliveries)
-      Crowds.push_back(std::make_unique<Crowd>(Host.Loop, Host.Address, Payload,
-                                               BodyCrowd, How));
-  Host.runCrowds(Crowds);
+      All.push_back(std::make_unique<Crowd>(Host.Loop, Host.Address, Payload,
+                                            BodyCrowd, How));
+  Host.runCrowds(All);
   Host.checkWithstood();
 }
 
 TEST_CASE("Hostile connections without an end to the entry daemon") {
   HostileEntryFixture Host(FewDescriptors);
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(Host.Loop, Host.Address,
-                                           Host.requestHead(), DescriptorCrowd,
-                                           Delivery::ShortOfEnd));
-  Host.runCrowds(Crowds);
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(Host.Loop, Host.Address,
+                                        Host.requestHead(), DescriptorCrowd,
+                                        Delivery::ShortOfEnd));
+  Host.runCrowds(All);
   Host.checkWithstood();
 }
 
@@ -201,13 +188,13 @@
   while (Body.size() + 4 < MaxBodyBytes)
     Body += ",0";
   Body += "]}";
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(
       Host.Loop, Host.Address,
       absl::StrCat(Host.requestHead(), "Content-Length: ", Body.size(),
                    "\r\n\r\n", Body),
       ValuesCrowd, Delivery::Whole));
-  Host.runCrowds(Crowds);
+  Host.runCrowds(All);
   Host.checkWithstood();
 }
 
@@ -218,12 +205,12 @@
   std::string Ranges = "bytes=0-1";
   while (Ranges.size() + 4 < LongBytes)
     Ranges += ",0-1";
-  std::vector<std::unique_ptr<Crowd>> Crowds;
-  Crowds.push_back(std::make_unique<Crowd>(
+  Crowds All;
+  All.push_back(std::make_unique<Crowd>(
       Host.Loop, Host.Address,
       absl::StrCat("GET /", Path, " HTTP/1.1\r\nHost: x\r\nRange: ", Ranges,
                    "\r\n\r\n"),
       HeaderCrowd, Delivery::Whole));
-  Host.runCrowds(Crowds);
+  Host.runCrowds(All);
   Host.checkWithstood();
 }
