Take default limits from the machine instead of a fixed size

Cause: both defaults stated the smallest host (3,900 sockets, 120 MB).

Change: without maxFds the process's own descriptor limit counts, without memory_mb the memory of the machine or of its control group. The hostile tests of the entry daemon state the 120 MB of their host in their settings, the bound that they check; crowds and bounds are the same.

--- a/include/berylramp/edge.h
+++ b/include/berylramp/edge.h
@@ -68,8 +68,9 @@
   Endpoint Store;
   /// Memory that the host's process may use.
   int64_t MemoryBytes = 128LL << 20;
-  /// Sockets that it may have open.
-  int64_t MaxSockets = 3900;
+  /// Descriptors that it may have open; unless stated, those that the process's
+  /// limits allow.
+  std::optional<int64_t> MaxDescriptors;
   HostBounds Bounds;
 };
 
--- a/include/berylramp/serving.h
+++ b/include/berylramp/serving.h
@@ -170,6 +170,9 @@
   std::shared_ptr<ConnectionLimit> Connections;
 };
 
+/// The number of descriptors that this process may have open.
+int64_t descriptorsOfProcess();
+
 /// Bounds for a process that may use \p Memory and accept \p MaxConnections.
 /// \p Counters must outlive them.
 ServingBounds makeServingBounds(boost::asio::io_context &Loop,
--- a/include/berylramp/settings.h
+++ b/include/berylramp/settings.h
@@ -14,6 +14,7 @@
 #include "berylramp/fleet.h"
 #include "berylramp/policy.h"
 #include "berylramp/units.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,8 +65,9 @@
   int ClaimShards = 2;
   size_t MaxBodyBytes = 1 << 20;
   size_t MaxConnections = 2048;
-  /// Memory that the process may use. Requests and replies take a part of it.
-  int64_t MemoryBytes = 120LL << 20;
+  /// Memory that the process may use, unless stated that of the machine.
+  /// Requests and replies take a part of it.
+  std::optional<int64_t> MemoryBytes;
   size_t MaxBufferedBills = 10000;
   PlanPolicy PlanSelection = PlanPolicy::Lean;
   ReplicaPolicy ReplicaSelection = ReplicaPolicy::Affinity;
--- a/src/edge/edge_start.cpp
+++ b/src/edge/edge_start.cpp
@@ -31,6 +31,8 @@
 /// Fraction of the host's memory that waiting requests may take.
 constexpr double MaxWaitingFraction = 1.0 / 16;
 
+/// Descriptors that are left for files.
+constexpr int64_t FileDescriptors = 200;
 /// Fractions of the host's sockets that accepted connections and the tunnels of
 /// other hosts, of two sockets each, may take. The rest is for connections to
 /// replicas, the store and other hosts.
@@ -75,7 +77,10 @@
   auto Memory = static_cast<double>(this->Config.MemoryBytes);
   Result.MaxAnswerBytes = static_cast<size_t>(Memory * MaxAnswerFraction);
   Result.Memory = memoryBounds(this->Config.MemoryBytes);
-  auto Sockets = static_cast<double>(this->Config.MaxSockets);
+  int64_t Descriptors =
+      this->Config.MaxDescriptors.value_or(descriptorsOfProcess());
+  auto Sockets =
+      static_cast<double>(std::max<int64_t>(Descriptors - FileDescriptors, 1));
   Result.MaxConnections = static_cast<size_t>(Sockets * ConnectionFraction);
   Result.MaxTunnels = static_cast<size_t>(Sockets * TunnelFraction);
   Result.Dispatch.MaxWaitingBytes =
--- a/src/serving/listener.cpp
+++ b/src/serving/listener.cpp
@@ -3,6 +3,8 @@
 #include "accept_loop.h"
 #include "caller_connection.h"
 
+#include <limits>
+#include <sys/resource.h>
 #include <unordered_set>
 
 namespace berylramp {
@@ -58,6 +60,14 @@
   NewConnection->start();
 }
 
+int64_t descriptorsOfProcess() {
+  rlimit Limit{};
+  bool IsKnown =
+      getrlimit(RLIMIT_NOFILE, &Limit) == 0 && Limit.rlim_cur != RLIM_INFINITY;
+  return IsKnown ? static_cast<int64_t>(Limit.rlim_cur)
+                 : std::numeric_limits<int32_t>::max();
+}
+
 ServingBounds makeServingBounds(boost::asio::io_context &Loop,
                                 TimerService &Timer, Metrics &Counters,
                                 const MemoryBounds &Memory,
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -59,9 +59,8 @@
   Settings.MaxConnections =
       static_cast<size_t>(intAt(Document, "max_connections",
                                 static_cast<int64_t>(Settings.MaxConnections)));
-  Settings.MemoryBytes =
-      intAt(Document, "memory_mb", Settings.MemoryBytes / BytesPerMegabyte) *
-      BytesPerMegabyte;
+  if (Document.isMember("memory_mb"))
+    Settings.MemoryBytes = intAt(Document, "memory_mb") * BytesPerMegabyte;
   Settings.MaxBufferedBills = static_cast<size_t>(
       intAt(Document, "bill_buffer",
             static_cast<int64_t>(Settings.MaxBufferedBills)));
@@ -202,7 +201,9 @@
   Document["claim_shards"] = Settings.ClaimShards;
   Document["max_body_bytes"] = Json::UInt64(Settings.MaxBodyBytes);
   Document["max_connections"] = Json::UInt64(Settings.MaxConnections);
-  Document["memory_mb"] = Json::Int64(Settings.MemoryBytes / BytesPerMegabyte);
+  if (Settings.MemoryBytes)
+    Document["memory_mb"] =
+        Json::Int64(*Settings.MemoryBytes / BytesPerMegabyte);
   Document["bill_buffer"] = Json::UInt64(Settings.MaxBufferedBills);
   Document["plan_policy"] = planPolicyName(Settings.PlanSelection);
   Document["replica_policy"] =
--- a/src/tools/entryd/main.cpp
+++ b/src/tools/entryd/main.cpp
@@ -17,10 +17,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <iostream>
-#include <limits>
-#include <sys/resource.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 namespace {
 
@@ -84,10 +84,17 @@
 /// Half of the descriptors; the rest is for engines, services, the log and
 /// other hosts.
 size_t maxConnectionsOfProcess() {
-  rlimit Descriptors{};
-  if (getrlimit(RLIMIT_NOFILE, &Descriptors) != 0)
-    return std::numeric_limits<size_t>::max();
-  return std::max<size_t>(static_cast<size_t>(Descriptors.rlim_cur) / 2, 1);
+  return static_cast<size_t>(std::max<int64_t>(descriptorsOfProcess() / 2, 1));
+}
+
+/// The memory of the machine, or of the control group if it has less.
+int64_t memoryOfMachine() {
+  int64_t Bytes = int64_t{sysconf(_SC_PHYS_PAGES)} * sysconf(_SC_PAGESIZE);
+  // "max" or no file if the group has no bound of its own.
+  int64_t OfGroup = 0;
+  if (std::ifstream("/sys/fs/cgroup/memory.max") >> OfGroup && OfGroup > 0)
+    Bytes = std::min(Bytes, OfGroup);
+  return Bytes;
 }
 
 /// Waits until the router is drained or a second termination signal arrives.
@@ -108,7 +115,7 @@
   Limits.MaxBodyBytes = Settings.MaxBodyBytes;
   Limits.MaxConnections =
       std::min(Settings.MaxConnections, maxConnectionsOfProcess());
-  Limits.MemoryBytes = Settings.MemoryBytes;
+  Limits.MemoryBytes = Settings.MemoryBytes.value_or(memoryOfMachine());
   Router EntryRouter(Settings, makePorts(Settings, Counts), Timer, Counts);
   HttpServer Server(Limits);
   EntryRouter.addRoutes(Server);
--- a/test/hostile_entry_test.cpp
+++ b/test/hostile_entry_test.cpp
@@ -116,6 +116,7 @@
     Settings.Listen = this->Address;
     Settings.MaxBodyBytes = MaxBodyBytes;
     Settings.MaxConnections = MaxConnections;
+    Settings.MemoryBytes = HostMegabytes << 20;
     Json::Value Document = *parseJson(printEntrySettings(Settings));
     Document["workspace_keys"][0]["key"] = test::CallerKey;
     Document["operator_keys"][0] = test::OperatorKey;
