Review case 7: a sound request is refused after a crash

Cause: three replicas that end at the same moment under the same sound request convict it; nothing can acquit it, as it is never sent again.

--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -473,6 +473,15 @@
   this->Listener.stop();
 }
 
+void Replica::crash() {
+  if (this->Stopped.exchange(true))
+    return;
+  this->Listener.stop();
+  this->Heart.join();
+  sleepFor(3 * HeartbeatTime);
+  this->Platform.put("keyed.servers", this->Id, std::nullopt);
+}
+
 std::string Replica::entry() const {
   return "{\"service\":\"" + this->Service + "\",\"address\":\"" + this->Ip +
          ":" + std::to_string(this->Port) + "\",\"zone\":\"" + this->Zone +
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -142,6 +142,8 @@
   void start(const std::string &Ip);
   /// Ends at once, and its entry is removed.
   void stop();
+  /// Ends at once and says nothing; its entry lapses after three heartbeats.
+  void crash();
   std::string entry() const;
   /// The headers that every answer bears.
   std::string headers(const Message &Request) const;
