--- a/test/edge_fixture.cpp
+++ b/test/edge_fixture.cpp
@@ -6,6 +6,8 @@
 #include "absl/strings/str_cat.h"
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <unistd.h>
 
 namespace berylramp {
 
@@ -48,6 +50,13 @@
   boost::asio::write(this->Shared->Socket, boost::asio::buffer(Bytes), Ignored);
 }
 
+size_t RawCaller::sendSome(absl::string_view Bytes) {
+  ErrorCode Ignored;
+  this->Shared->Socket.non_blocking(true, Ignored);
+  return this->Shared->Socket.write_some(
+      boost::asio::buffer(Bytes.data(), Bytes.size()), Ignored);
+}
+
 void RawCaller::close() {
   ErrorCode Ignored;
   this->Shared->Socket.close(Ignored);
@@ -71,6 +80,13 @@
   return Text.size() >= HeadEnd + 4 + std::stoul(Text.substr(LengthField + 16));
 }
 
+int64_t residentBytes() {
+  int64_t Total = 0;
+  int64_t Resident = 0;
+  std::ifstream("/proc/self/statm") >> Total >> Resident;
+  return Resident * sysconf(_SC_PAGESIZE);
+}
+
 EdgeFixture::EdgeFixture() : Timer(Loop) {
   this->Store = std::make_unique<standin::Store>(this->Loop, this->Timer);
   REQUIRE(this->Store->listen().ok());
--- a/test/edge_fixture.h
+++ b/test/edge_fixture.h
@@ -27,6 +27,8 @@
   RawCaller(boost::asio::io_context &Loop, const Endpoint &Target);
 
   void send(const std::string &Bytes);
+  /// Sends what the kernel takes at once; returns its length.
+  size_t sendSome(absl::string_view Bytes);
   void close();
   const std::string &received() const { return this->Shared->Received; }
   bool isClosed() const { return this->Shared->Closed; }
@@ -49,6 +51,9 @@
   std::shared_ptr<State> Shared;
 };
 
+/// The resident memory of this process in bytes.
+int64_t residentBytes();
+
 /// Replicas "engine-0", "engine-1", "plain-0" and "plain-1", a store and a
 /// daemon in one data centre.
 struct EdgeFixture {
--- a/test/edge_flood_test.cpp
+++ b/test/edge_flood_test.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <fstream>
-#include <unistd.h>
 
 using namespace berylramp;
 using standin::ReplicaBehavior;
@@ -19,13 +17,6 @@
 /// The memory of the smallest host.
 constexpr int64_t HostMemory = 88LL << 20;
 
-int64_t residentBytes() {
-  int64_t Total = 0;
-  int64_t Resident = 0;
-  std::ifstream("/proc/self/statm") >> Total >> Resident;
-  return Resident * sysconf(_SC_PAGESIZE);
-}
-
 /// A host whose first engine and first plain replica misbehave.
 struct FloodFixture : EdgeFixture {
   FloodFixture() {
--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -395,6 +395,72 @@
   CHECK(countOccurrences(Caller.received(), "data: ") == 40);
 }
 
+namespace {
+
+/// A host that begins to stop while it serves a request.
+struct StoppingFixture : EdgeFixture {
+  StoppingFixture() {
+    // No request below is cut at the end of the grace period.
+    this->Config.Bounds.GracePeriod = absl::Seconds(20);
+    this->putTable(1, {"key-1"});
+    this->putReplicas();
+    EdgeSettings Settings;
+    Settings.RefuseNewDelay = absl::Milliseconds(300);
+    this->start(Settings);
+    this->awaitReady(this->Config.Ready);
+    for (const auto &Instance : this->Engines) {
+      Instance->EventCount = 20;
+      Instance->EventInterval = absl::Milliseconds(100);
+    }
+    this->Long =
+        std::make_unique<RawCaller>(this->Loop, this->callerEndpoint());
+    this->Long->send(makeRequest("/stream/a", "long", "", "x", "key-1"));
+    REQUIRE(this->runUntil([&] { return this->runCount("long") == 1; }));
+  }
+  ~StoppingFixture() { this->Long.reset(); }
+
+  /// Begins to stop and waits until new requests are refused.
+  void stop() {
+    this->Daemon->stop([&] { this->Stopped = true; });
+    this->runFor(absl::Milliseconds(400));
+    REQUIRE_FALSE(this->Stopped);
+  }
+  void awaitEnd() {
+    CHECK(this->runUntil([&] { return this->Stopped; }));
+    CHECK(this->Long->hasCompleteAnswer());
+  }
+
+  std::unique_ptr<RawCaller> Long;
+  bool Stopped = false;
+};
+
+} // namespace
+
+// On other systems, such requests were passed on and cut at the end of the
+// grace period.
+TEST_CASE_METHOD(StoppingFixture, "A request that comes late in a planned stop "
+                                  "is refused and does not run") {
+  RawCaller Kept(this->Loop, this->callerEndpoint());
+  RawCaller Uploading(this->Loop, this->callerEndpoint());
+  std::string Upload = makeRequest("/once/a", "upload", "", "ab", "key-1");
+  Uploading.send(Upload.substr(0, Upload.size() - 1));
+  this->stop();
+  Kept.send(makeRequest("/once/a", "kept", "", "x", "key-1"));
+  Uploading.send(Upload.substr(Upload.size() - 1));
+  RawCaller New = this->call("/once/a", "new");
+  CHECK(this->runUntil([&] {
+    return Kept.hasCompleteAnswer() && Uploading.hasCompleteAnswer();
+  }));
+  for (const RawCaller *Caller : {&Kept, &Uploading, &New}) {
+    CHECK(Caller->status() == 503);
+    CHECK(absl::StrContains(Caller->received(), "Retry-After: "));
+    CHECK(absl::StrContains(Caller->received(), "Connection: close"));
+  }
+  this->awaitEnd();
+  for (const char *Id : {"kept", "upload", "new"})
+    CHECK(this->runCount(Id) == 0);
+}
+
 TEST_CASE_METHOD(EdgeFixture,
                  "Requests are refused before a table is in force") {
   this->Store->Behavior = standin::StoreBehavior::Refuses;
