Reject requests whose transfer coding is not chunks

Cause: Beast ignores a Transfer-Encoding that does not end in "chunked". Without a length, the request counted as one without a body. All listeners share that parser: callers, readiness, directory, other hosts, metrics, tunnels and the entry daemon.

Other ambiguous lengths and chunks were malformed before.

Why it works: 400 for anything but one field "chunked" in HTTP/1.1 (RFC 9112, 6.1 and 6.3), and what follows is dropped.

--- a/src/serving/http_parse.cpp
+++ b/src/serving/http_parse.cpp
@@ -56,6 +56,28 @@
   return Fault;
 }
 
+/// The transfer coding of a message. Beast ignores codings other than a final
+/// "chunked", and takes what follows such a request as the next one.
+class TransferCoding {
+public:
+  void add(absl::string_view Value) {
+    this->IsFramed =
+        !this->IsPresent && absl::EqualsIgnoreCase(Value, "chunked");
+    this->IsPresent = true;
+  }
+  /// Whether both ends agree on where the body ends, and what it is (RFC 9112,
+  /// 6.1 and 6.3).
+  bool isSound(int Version) const {
+    return !this->IsPresent || (this->IsFramed && Version >= ChunkedVersion);
+  }
+
+private:
+  /// HTTP/1.1, as Beast counts versions.
+  static constexpr int ChunkedVersion = 11;
+  bool IsPresent = false;
+  bool IsFramed = false;
+};
+
 template <typename Fields>
 std::vector<HeaderField> toHeaderFields(const Fields &Source) {
   std::vector<HeaderField> Result;
@@ -106,6 +128,8 @@
   CallerRequest Parsed;
   uint64_t AnnouncedBytes = 0;
   bool WantsContinue = false;
+  int Version = 0;
+  TransferCoding Coding;
 
   /// Makes room for \p Count bytes of the body. The memory of a body whose
   /// length is announced never exceeds it.
@@ -125,9 +149,10 @@
   using Text = boost::string_view;
   using ErrorCode = boost::system::error_code;
 
-  void on_request_impl(http::verb, Text Method, Text Target, int,
+  void on_request_impl(http::verb, Text Method, Text Target, int HttpVersion,
                        ErrorCode &Error) override {
     Error = {};
+    this->Version = HttpVersion;
     this->Parsed.Method.assign(Method.data(), Method.size());
     this->Parsed.Target.assign(Target.data(), Target.size());
   }
@@ -142,6 +167,8 @@
       return;
     if (Name == http::field::expect)
       this->WantsContinue = boost::beast::iequals(Value, "100-continue");
+    if (Name == http::field::transfer_encoding)
+      this->Coding.add({Value.data(), Value.size()});
     this->Parsed.Headers.add({NameText.data(), NameText.size()},
                              {Value.data(), Value.size()});
   }
@@ -180,7 +207,13 @@
 RequestParser::~RequestParser() = default;
 
 ParseFault RequestParser::feed(absl::string_view Bytes, size_t &Consumed) {
-  return feedParser(*this->Parser, Bytes, Consumed);
+  ParseFault Fault = feedParser(*this->Parser, Bytes, Consumed);
+  // Not in a callback of the parser, which ignores an error at the end of the
+  // header if the bytes go on.
+  bool IsSound = this->Parser->Coding.isSound(this->Parser->Version);
+  if (Fault == ParseFault::None && this->headDone() && !IsSound)
+    return ParseFault::Malformed;
+  return Fault;
 }
 
 bool RequestParser::hasStarted() const { return this->Parser->got_some(); }
