Reject answers whose transfer coding is not chunks

What callers saw: a replica's answer in "gzip" reached them as a success with the coded bytes and without the field that says so; after a 204 that states a body, the next request on the connection could get that body as its answer.

Cause: the parser of answers ignores such codings like the one of requests, and takes a 204 as complete whatever length it states.

Why it works: one parser reads direct answers, those over another host, the framing of tunnels, and the answers of the store and of other hosts.

--- a/src/serving/http_parse.cpp
+++ b/src/serving/http_parse.cpp
@@ -20,6 +20,7 @@
 namespace http = boost::beast::http;
 
 constexpr uint32_t MaxAnswerHeaderBytes = 64U << 10;
+constexpr unsigned NoContentStatus = 204;
 /// Bytes without the end of a header, a chunk header or a trailer.
 constexpr size_t MaxUnparsedBytes = 80U << 10;
 
@@ -285,6 +286,23 @@
 
 struct AnswerParser::Impl {
   http::response_parser<ReceivedBody> Reader;
+
+  /// Whether the header states a body whose end both ends agree on.
+  bool isHeadSound() const {
+    const auto &Head = this->Reader.get();
+    TransferCoding Coding;
+    for (const auto &Field : Head)
+      if (Field.name() == http::field::transfer_encoding)
+        Coding.add({Field.value().data(), Field.value().size()});
+    return Coding.isSound(static_cast<int>(Head.version()));
+  }
+  /// Whether the sender may write a body that this status excludes.
+  bool mayHaveExcludedBody() const {
+    const auto &Head = this->Reader.get();
+    bool ExcludesBody = Head.result_int() == NoContentStatus;
+    return ExcludesBody && (this->Reader.chunked() ||
+                            this->Reader.content_length().value_or(0) > 0);
+  }
 };
 
 AnswerParser::AnswerParser(bool WithoutBody,
@@ -303,8 +321,12 @@
 
 ParseFault AnswerParser::feed(std::string &Bytes) {
   size_t Consumed = 0;
+  bool HadHead = this->headDone();
   ParseFault Fault = feedParser(this->Parser->Reader, Bytes, Consumed);
   Bytes.erase(0, Consumed);
+  bool ReadsHead = !HadHead && this->headDone();
+  if (Fault == ParseFault::None && ReadsHead && !this->Parser->isHeadSound())
+    return ParseFault::Malformed;
   return Fault;
 }
 
@@ -315,7 +337,8 @@
 bool AnswerParser::done() const { return this->Parser->Reader.is_done(); }
 
 bool AnswerParser::keepAlive() const {
-  return this->Parser->Reader.keep_alive();
+  return this->Parser->Reader.keep_alive() &&
+         !this->Parser->mayHaveExcludedBody();
 }
 
 bool AnswerParser::finishAtEof() {
--- a/src/serving/http_parse.h
+++ b/src/serving/http_parse.h
@@ -53,6 +53,7 @@
   ParseFault feed(std::string &Bytes);
   bool headDone() const;
   bool done() const;
+  /// Whether the next answer may follow on the connection.
   bool keepAlive() const;
   /// Signals the sender's orderly close; returns true if that completes the
   /// answer.
--- a/test/framing_test.cpp
+++ b/test/framing_test.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 const std::string RequestLine = "POST /once/a HTTP/1.1\r\nHost: api.test\r\n";
+const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
 
 /// Whether a request with \p Framing is malformed, however its bytes arrive.
 bool rejectsRequest(const std::string &Framing,
@@ -39,6 +40,12 @@
   return RejectsWhole;
 }
 
+ParseFault parseAnswer(const std::string &Text) {
+  AnswerParser Parser(/*WithoutBody=*/false);
+  std::string Bytes = Text;
+  return Parser.feed(Bytes);
+}
+
 /// Sends requests with a body that has the text of another request.
 struct SmugglingFixture : ServingFixture {
   /// The number of answers on one connection.
@@ -161,3 +168,61 @@
   CHECK(this->runCount("outer") == 0);
   CHECK(this->runCount("inner") == 0);
 }
+
+// A body in a coding that nobody removes reached callers as the answer.
+TEST_CASE("An answer whose transfer coding is not chunks is malformed") {
+  for (const char *Coding :
+       {"identity", "gzip", "chunked, identity", "gzip, chunked",
+        "identity, chunked", "chunked, chunked", "xchunked", ""}) {
+    CAPTURE(Coding);
+    std::string Head =
+        absl::StrCat(StatusLine, "Transfer-Encoding: ", Coding, "\r\n");
+    CHECK(parseAnswer(Head + "\r\n") == ParseFault::Malformed);
+    CHECK(parseAnswer(Head + "Content-Length: 3\r\n\r\nabc") ==
+          ParseFault::Malformed);
+    CHECK(
+        parseAnswer(
+            Head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n") ==
+        ParseFault::Malformed);
+  }
+  CHECK(parseAnswer("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n\r\n") == ParseFault::Malformed);
+  CHECK(parseAnswer(StatusLine + "Transfer-Encoding: Chunked\r\n\r\n"
+                                 "3\r\nabc\r\n0\r\n\r\n") == ParseFault::None);
+}
+
+TEST_CASE("An answer whose length is ambiguous is malformed") {
+  for (const char *Framing :
+       {"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "Content-Length: +3\r\n\r\nabc", "Content-Length: \r\n\r\nabc",
+        "Content-Length : 3\r\n\r\nabc", "X: y\nContent-Length: 3\r\n\r\nabc",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n"}) {
+    CAPTURE(Framing);
+    CHECK(parseAnswer(StatusLine + Framing) == ParseFault::Malformed);
+  }
+}
+
+// The next request on the connection received that body as its answer.
+TEST_CASE("A connection ends with an answer whose status allows no body, but "
+          "that states one") {
+  auto KeepsConnection = [](const std::string &Text, bool IsHead = false) {
+    AnswerParser Parser(IsHead);
+    std::string Bytes = Text;
+    REQUIRE(Parser.feed(Bytes) == ParseFault::None);
+    REQUIRE(Parser.done());
+    return Parser.keepAlive();
+  };
+  const std::string NoContent = "HTTP/1.1 204 No Content\r\n";
+  CHECK(KeepsConnection(NoContent + "\r\n"));
+  CHECK(KeepsConnection(NoContent + "Content-Length: 0\r\n\r\n"));
+  CHECK_FALSE(KeepsConnection(NoContent + "Content-Length: 3\r\n\r\n"));
+  CHECK_FALSE(
+      KeepsConnection(NoContent + "Transfer-Encoding: chunked\r\n\r\n"));
+  // Both state the length of the body that they leave out.
+  CHECK(KeepsConnection(
+      "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n"));
+  CHECK(KeepsConnection(StatusLine + "Content-Length: 3\r\n\r\n",
+                        /*IsHead=*/true));
+}
