Take an answer with a status that does not exist as malformed

What callers saw: statuses 600 and 999 as they were. A status 000 became a 502, but with a statement that the request did not run it was believed, and callers were told to come back (503).

Cause: any three digits were a status.

Evidence: "An answer with a status that does not exist is no answer" (600, 999) and "A status that does not exist proves nothing" (000) fail on, directly and over another host.

Why it works: what is not between 100 and 599 proves nothing, so that the request may have run.

--- a/src/serving/http_parse.cpp
+++ b/src/serving/http_parse.cpp
@@ -79,6 +79,13 @@
   bool IsFramed = false;
 };
 
+/// Whether a status of this number may exist (RFC 9110, 15).
+bool isStatusCode(unsigned Status) {
+  constexpr unsigned First = 100;
+  constexpr unsigned Last = 599;
+  return First <= Status && Status <= Last;
+}
+
 template <typename Fields>
 std::vector<HeaderField> toHeaderFields(const Fields &Source) {
   std::vector<HeaderField> Result;
@@ -287,14 +294,16 @@
 struct AnswerParser::Impl {
   http::response_parser<ReceivedBody> Reader;
 
-  /// Whether the header states a body whose end both ends agree on.
+  /// Whether the header states a status that exists and a body whose end both
+  /// ends agree on.
   bool isHeadSound() const {
     const auto &Head = this->Reader.get();
     TransferCoding Coding;
     for (const auto &Field : Head)
       if (Field.name() == http::field::transfer_encoding)
         Coding.add({Field.value().data(), Field.value().size()});
-    return Coding.isSound(static_cast<int>(Head.version()));
+    return isStatusCode(Head.result_int()) &&
+           Coding.isSound(static_cast<int>(Head.version()));
   }
   /// Whether the sender may write a body that this status excludes.
   bool mayHaveExcludedBody() const {
--- a/test/faulty_answer_test.cpp
+++ b/test/faulty_answer_test.cpp
@@ -109,6 +109,30 @@
     this->checkFails(Path, 502, std::string(UploadBytes, 'u'));
 }
 
+// On other systems, callers received the status as it was.
+TEST_CASE_METHOD(FaultyAnswerFixture,
+                 "An answer with a status that does not exist is no answer") {
+  for (const char *Status : {"000", "099", "600", "999"}) {
+    CAPTURE(Status);
+    AnswerScript Script;
+    Script.Bytes = absl::StrCat("HTTP/1.1 ", Status, " Trouble\r\n",
+                                CommonFields, "Content-Length: 2\r\n\r\nno");
+    this->follow(Script);
+    this->checkFails("/once/a", 502);
+  }
+}
+
+// The statement was believed, and the caller was told to come back.
+TEST_CASE_METHOD(FaultyAnswerFixture,
+                 "A status that does not exist proves nothing") {
+  AnswerScript Script;
+  Script.Bytes =
+      absl::StrCat("HTTP/1.1 000 Trouble\r\n", CommonFields,
+                   "Berylramp-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  this->follow(Script);
+  this->checkFails("/once/a", 502);
+}
+
 // On other systems, callers received a complete answer without its body.
 TEST_CASE_METHOD(FaultyAnswerFixture,
                  "A head that stops in the middle is no answer") {
