Send streams to callers of HTTP/1.0 without chunks

What callers saw: the sizes of chunks between the events of a stream.

Cause: streams were sent in chunks whatever the version of the request.

Why it works: such a stream ends with its connection (RFC 9112, 6.3). One that is broken or cut is reset, as a close would make it look complete.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -114,10 +114,12 @@
 void CallerConnection::beginStream(const HttpHead &Head) {
   if (!this->RequestActive)
     return;
-  this->CloseAfterStream = this->shouldClose(false);
+  // A caller that does not read chunks takes the close as the end.
+  this->CloseAfterStream = this->shouldClose(!this->ReadsChunks);
   std::string Message = this->statusLine(Head);
   std::vector<HeaderField> Fields = Head.Headers;
-  Fields.emplace_back("Transfer-Encoding", "chunked");
+  if (this->ReadsChunks)
+    Fields.emplace_back("Transfer-Encoding", "chunked");
   if (this->CloseAfterStream)
     Fields.emplace_back("Connection", "close");
   appendFields(Message, Fields);
@@ -128,8 +130,9 @@
 void CallerConnection::sendChunk(std::string Chunk) {
   if (!this->RequestActive || Chunk.empty())
     return;
-  this->Transport->send(
-      absl::StrCat(absl::Hex(Chunk.size()), "\r\n", Chunk, "\r\n"));
+  if (this->ReadsChunks)
+    Chunk = absl::StrCat(absl::Hex(Chunk.size()), "\r\n", Chunk, "\r\n");
+  this->Transport->send(std::move(Chunk));
   if (this->Transport->unsentBytes() > this->maxUnsentBytes())
     this->Output.end();
 }
@@ -137,14 +140,18 @@
 void CallerConnection::endStream() {
   if (!this->RequestActive)
     return;
-  this->Transport->send("0\r\n\r\n");
+  if (this->ReadsChunks)
+    this->Transport->send("0\r\n\r\n");
   this->finish(this->CloseAfterStream || this->Hooks.Draining());
 }
 
 void CallerConnection::cutStream() {
   if (!this->RequestActive)
     return;
-  this->finish(/*Close=*/true);
+  if (this->ReadsChunks)
+    this->finish(/*Close=*/true);
+  else
+    this->abort();
 }
 
 void CallerConnection::abort() {
@@ -177,7 +184,7 @@
 
 // A stream ends between two events, so that the caller can resume it.
 void CallerConnection::endSlowReader() {
-  if (this->IsStream)
+  if (this->IsStream && this->ReadsChunks)
     this->Transport->closeAfterMessage();
   else
     this->Transport->reset();
--- a/src/serving/caller_connection.h
+++ b/src/serving/caller_connection.h
@@ -108,6 +108,8 @@
   bool HeadOnly = false;
   bool ContinueHandled = false;
   bool CloseAfterStream = false;
+  /// The caller knows answers in chunks.
+  bool ReadsChunks = true;
   /// The last answer is a stream.
   bool IsStream = false;
   /// The next request waits until the caller has read earlier answers.
--- a/src/serving/caller_input.cpp
+++ b/src/serving/caller_input.cpp
@@ -159,6 +159,7 @@
     return;
   }
   if (this->Parser->done()) {
+    this->ReadsChunks = this->Parser->readsChunks();
     this->startRequest(this->Parser->releaseRequest(),
                        this->Parser->keepAlive());
     return;
--- a/src/serving/http_parse.cpp
+++ b/src/serving/http_parse.cpp
@@ -72,9 +72,10 @@
     return !this->IsPresent || (this->IsFramed && Version >= ChunkedVersion);
   }
 
-private:
   /// HTTP/1.1, as Beast counts versions.
   static constexpr int ChunkedVersion = 11;
+
+private:
   bool IsPresent = false;
   bool IsFramed = false;
 };
@@ -236,6 +237,10 @@
   return this->Parser->WantsContinue;
 }
 
+bool RequestParser::readsChunks() const {
+  return this->Parser->Version >= TransferCoding::ChunkedVersion;
+}
+
 size_t RequestParser::bodyBytes() const {
   return this->Parser->Parsed.Body.size();
 }
--- a/src/serving/http_parse.h
+++ b/src/serving/http_parse.h
@@ -29,6 +29,8 @@
   bool done() const;
   bool keepAlive() const;
   bool wantsContinue() const;
+  /// Whether the sender knows answers in chunks.
+  bool readsChunks() const;
   /// Bytes of the body that were received, and that the header announces; 0
   /// when it announces none.
   size_t bodyBytes() const;
--- a/test/framing_test.cpp
+++ b/test/framing_test.cpp
@@ -226,3 +226,30 @@
   CHECK(KeepsConnection(StatusLine + "Content-Length: 3\r\n\r\n",
                         /*IsHead=*/true));
 }
+
+// Callers of HTTP/1.0 received the sizes of chunks as a part of their answer.
+TEST_CASE_METHOD(ServingFixture,
+                 "A stream to a caller of HTTP/1.0 ends with its connection") {
+  RawCaller Caller(this->Loop, this->callerEndpoint());
+  Caller.send("POST /stream/a HTTP/1.0\r\nHost: api.test\r\n"
+              "Authorization: Token key-1\r\nBerylramp-Attempt-Id: old\r\n"
+              "Berylramp-Model: *\r\nContent-Length: 1\r\n\r\nx");
+  CHECK(this->runUntil([&] { return Caller.isClosed(); }));
+  CHECK_FALSE(Caller.wasReset());
+  CHECK_FALSE(absl::StrContains(Caller.received(), "Transfer-Encoding"));
+  CHECK(absl::StrContains(Caller.received(), "Connection: close"));
+  CHECK(absl::StrContains(Caller.received(), "\r\n\r\nid: 1\n"));
+  CHECK(absl::EndsWith(Caller.received(), "5 of old\n\n"));
+}
+
+TEST_CASE_METHOD(ServingFixture,
+                 "A broken stream to a caller of HTTP/1.0 is reset") {
+  for (const auto &Engine : this->Engines)
+    Engine->EventsBeforeCut = 1;
+  RawCaller Caller(this->Loop, this->callerEndpoint());
+  Caller.send("POST /stream/a HTTP/1.0\r\nHost: api.test\r\n"
+              "Authorization: Token key-1\r\nBerylramp-Attempt-Id: old\r\n"
+              "Berylramp-Model: *\r\nContent-Length: 1\r\n\r\nx");
+  CHECK(this->runUntil([&] { return Caller.isClosed(); }));
+  CHECK(Caller.wasReset());
+}
