Answer a caller's CONNECT with 501

What callers saw: a CONNECT whose target matches a route ran at a replica. A caller takes a success as the begin of a tunnel, and the body of the answer as its first bytes.

Cause: the method was passed on like any other.

--- a/src/serving/caller_connection.cpp
+++ b/src/serving/caller_connection.cpp
@@ -38,6 +38,8 @@
     return TooLargeReason;
   case 431:
     return "Request Header Fields Too Large";
+  case 501:
+    return "Not Implemented";
   case 502:
     return "Bad Gateway";
   case 503:
--- a/src/serving/caller_connection.h
+++ b/src/serving/caller_connection.h
@@ -81,6 +81,7 @@
   ParseFault feed(absl::string_view Bytes);
   void startRequest(CallerRequest Request, bool MayKeepAlive);
   void rejectMalformed(ParseFault Fault);
+  void rejectMethod();
   /// Answers what no handler sees, and closes.
   void refuse(HttpHead Head);
   void finish(bool Close);
--- a/src/serving/caller_input.cpp
+++ b/src/serving/caller_input.cpp
@@ -187,6 +187,12 @@
   // Detects that the caller leaves.
   if (this->Buffer.size() <= MaxBufferedBytes && !this->Discards)
     this->Transport->resumeReading();
+  // A successful answer to it has no body for a caller, and may have one for a
+  // replica.
+  if (Request.Method == "CONNECT") {
+    this->rejectMethod();
+    return;
+  }
   Request.ArrivedAt = this->Hooks.Timer->now();
   this->HeadOnly = Request.Method == "HEAD";
   RequestHandler Handler = this->Hooks.Handler;
@@ -203,6 +209,13 @@
   this->refuse(std::move(Head));
 }
 
+void CallerConnection::rejectMethod() {
+  HttpHead Head;
+  Head.Status = 501;
+  this->Discards = true;
+  this->refuse(std::move(Head));
+}
+
 void CallerConnection::refuse(HttpHead Head) {
   this->RequestActive = true;
   this->KeepAlive = false;
--- a/test/framing_test.cpp
+++ b/test/framing_test.cpp
@@ -253,3 +253,14 @@
   CHECK(this->runUntil([&] { return Caller.isClosed(); }));
   CHECK(Caller.wasReset());
 }
+
+// An answer to CONNECT has no body for one end and a body for the other.
+TEST_CASE_METHOD(ServingFixture, "A caller's CONNECT reaches no replica") {
+  RawCaller Caller(this->Loop, this->callerEndpoint());
+  Caller.send("CONNECT /once/a HTTP/1.1\r\nHost: api.test\r\n"
+              "Authorization: Token key-1\r\nBerylramp-Attempt-Id: tunnel\r\n"
+              "\r\n");
+  CHECK(this->runUntil([&] { return Caller.isClosed(); }));
+  CHECK(Caller.status() == 501);
+  CHECK(this->runCount("tunnel") == 0);
+}
