Open no tunnels late in a planned stop

What callers saw: nothing was reported here. A request that came over a tunnel late in the grace period of the host in between was passed on, and cut at the end, also one that may not be repeated.

Cause: the listener for tunnels did not know that its host stops. Hosts avoid a peer that announced it, but the announcement is a datagram.

Evidence: "A host that stops opens no tunnels late in its planned stop" fails on: 200 where 503 is due.

Why it works: from the time at which the host refuses new requests, it answers that the path is unavailable. The other host has sent nothing yet and takes another path.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -28,6 +28,9 @@
   Server.AddressOf = [&Registry](uint64_t Hash) {
     return Registry.find(*Registry.idOf(Hash))->Entry.Address;
   };
+  Server.RejectsNew = [&Core = *this->Shared] {
+    return Core.Hooks.RejectsNewRequests();
+  };
   Server.OnReached = [Weak](const PathTarget &Target) {
     if (auto Paths = Weak.lock())
       Paths->onReached(Target);
--- a/src/exchange/tunnel.cpp
+++ b/src/exchange/tunnel.cpp
@@ -163,7 +163,8 @@
     if (Request.Method == "CONNECT" &&
         absl::SimpleHexAtoi(Request.Target, &Hash))
       Found = this->Hooks.Find(Hash);
-    if (!Found) {
+    // A request that is passed on late would be cut at the end of the stop.
+    if (!Found || this->Hooks.RejectsNew()) {
       this->answer(TunnelAnswer::Unavailable);
       return;
     }
--- a/src/exchange/tunnel.h
+++ b/src/exchange/tunnel.h
@@ -73,6 +73,8 @@
   /// The replica with the hash, or nothing when it is unknown.
   std::function<std::optional<PathTarget>(uint64_t Replica)> Find;
   std::function<Endpoint(uint64_t Replica)> AddressOf;
+  /// Whether the host stops and opens no more tunnels.
+  std::function<bool()> RejectsNew;
   std::function<void(const PathTarget &)> OnReached;
   std::function<void(const PathTarget &, Instant Since, bool Hangs)>
       OnUnreached;
--- a/test/edge_path_test.cpp
+++ b/test/edge_path_test.cpp
@@ -2,6 +2,7 @@
 
 #include "edge_fixture.h"
 #include "forwarding.h"
+#include "tunnel.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -461,6 +462,28 @@
     CHECK(this->runCount(Id) == 0);
 }
 
+// A host in between that stops took tunnels until its end, and cut the requests
+// in them.
+TEST_CASE_METHOD(
+    StoppingFixture,
+    "A host that stops opens no tunnels late in its planned stop") {
+  const Endpoint Tunnels{this->Config.Ip, this->Config.GossipPort};
+  const std::string Open = tunnelRequest(stableHash("plain-0"));
+  RawCaller Early(this->Loop, Tunnels);
+  Early.send(Open);
+  CHECK(this->runUntil([&] { return Early.status() != 0; }));
+  CHECK(Early.status() == 200);
+  this->stop();
+  RawCaller Late(this->Loop, Tunnels);
+  Late.send(Open);
+  CHECK(this->runUntil([&] { return Late.status() != 0; }));
+  CHECK(Late.status() == 503);
+  CHECK_FALSE(Early.isClosed());
+  Early.close();
+  Late.close();
+  this->awaitEnd();
+}
+
 TEST_CASE_METHOD(EdgeFixture,
                  "Requests are refused before a table is in force") {
   this->Store->Behavior = standin::StoreBehavior::Refuses;
--- a/test/tunnel_test.cpp
+++ b/test/tunnel_test.cpp
@@ -77,6 +77,7 @@
     TunnelHooks Hooks;
     Hooks.Find = [](uint64_t) { return std::make_optional<PathTarget>(); };
     Hooks.AddressOf = [this](uint64_t) { return this->Replica.address(); };
+    Hooks.RejectsNew = [] { return false; };
     Hooks.OnReached = [](const PathTarget &) {};
     Hooks.OnUnreached = [](const PathTarget &, Instant, bool) {};
     this->Between = std::make_unique<TunnelServer>(this->Loop, this->Timer,
