Bound and check the answers that the entry daemon receives

What callers saw: an engine that sent bytes without end, in a head or in a body, made the entry daemon keep them all until it ran out of memory. A status 000 and bodies in unknown codings were passed on.

Cause: cpp-httplib's client bounds neither header lines nor bodies of answers, and checks little of the framing. Nothing of it can be set.

--- a/include/berylramp/http.h
+++ b/include/berylramp/http.h
@@ -1,8 +1,7 @@
 //===- http.h - HTTP server and client adapters -----------------*- C++ -*-===//
 //
 // A server for handlers that block, and a client. A handler runs on a thread of
-// its own and sends its reply either as one body or as a stream. The types of
-// cpp-httplib are visible only inside this library.
+// its own and sends its reply either as one body or as a stream.
 //
 //===----------------------------------------------------------------------===//
 
--- a/test/upstream_adapter_test.cpp
+++ b/test/upstream_adapter_test.cpp
@@ -48,6 +48,38 @@
     close(Connection);
   }
 
+  /// Accepts the next connection, sends \p Begin, and then \p Flood again and
+  /// again until the connection is closed or \p MaxBytes are sent. Returns the
+  /// bytes that the peer took.
+  size_t floodNextConnection(const std::string &Begin, const std::string &Flood,
+                             size_t MaxBytes) const {
+    int Connection = accept(this->Descriptor, nullptr, nullptr);
+    size_t Sent = 0;
+    ssize_t Count = send(Connection, Begin.data(), Begin.size(), MSG_NOSIGNAL);
+    while (Count >= 0 && Sent < MaxBytes) {
+      Sent += static_cast<size_t>(Count);
+      Count = send(Connection, Flood.data(), Flood.size(), MSG_NOSIGNAL);
+    }
+    close(Connection);
+    return Sent;
+  }
+
+  /// Accepts the next connection, sends \p Bytes once a part of a request has
+  /// arrived, and resets it.
+  void resetNextConnection(const std::string &Bytes) const {
+    int Connection = accept(this->Descriptor, nullptr, nullptr);
+    char Byte = 0;
+    CHECK(recv(Connection, &Byte, 1, 0) == 1);
+    CHECK(send(Connection, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Bytes.size()));
+    linger Immediately{1, 0};
+    setsockopt(Connection, SOL_SOCKET, SO_LINGER, &Immediately,
+               sizeof(Immediately));
+    close(Connection);
+  }
+
+  Endpoint address() const { return {"127.0.0.1", this->Port}; }
+
   int Port = 0;
 
 private:
@@ -62,6 +94,28 @@
   return Port.Generate(Call, [](const std::string &) { return true; });
 }
 
+/// The outcome of a call that the server answers with \p Bytes.
+HttpOutcome outcomeOf(const std::string &Bytes, bool Resets = false,
+                      const std::string &Body = "") {
+  SilentServer Server;
+  std::thread Answerer([&] {
+    if (Resets)
+      Server.resetNextConnection(Bytes);
+    else
+      Server.answerNextConnection(Bytes);
+  });
+  HttpCall Call;
+  Call.Method = "POST";
+  Call.Body = Body;
+  Call.ReadTimeout = absl::Seconds(60);
+  // The pool must not keep the connection, whose end the server awaits.
+  HttpOutcome Outcome = HttpClientPool().call(Server.address(), Call);
+  Answerer.join();
+  return Outcome;
+}
+
+const std::string Success = "HTTP/1.1 200 OK\r\n";
+
 } // namespace
 
 TEST_CASE("An engine that does not answer in time is reported as late") {
@@ -96,3 +150,83 @@
   CHECK(Load->Waiting == 1000000);
   CHECK(Load->Slots == 1000000);
 }
+
+// A status 000 was passed on as the answer.
+TEST_CASE("An answer with a status that does not exist is a fault") {
+  for (const char *Status : {"000", "099", "600", "999"}) {
+    CAPTURE(Status);
+    HttpOutcome Outcome = outcomeOf(std::string("HTTP/1.1 ") + Status +
+                                    " Trouble\r\nContent-Length: 2\r\n\r\nno");
+    CHECK(Outcome.Fault == HttpFault::Interrupted);
+  }
+}
+
+// A body in a coding that nobody removes was passed on as the answer.
+TEST_CASE("An answer with an unknown or ambiguous framing is a fault") {
+  for (const char *Framing :
+       {"Transfer-Encoding: gzip\r\n\r\nabc",
+        "Transfer-Encoding: identity\r\nContent-Length: 3\r\n\r\nabc",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "Content-Length: +3\r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n"}) {
+    CAPTURE(Framing);
+    CHECK(outcomeOf(Success + Framing).Fault == HttpFault::Interrupted);
+  }
+}
+
+TEST_CASE("An answer that its sender breaks off is a fault") {
+  for (const char *Bytes :
+       {"HTTP/1.1 2", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+        "0\r\n"}) {
+    CAPTURE(Bytes);
+    CHECK(outcomeOf(Bytes).Fault == HttpFault::Interrupted);
+    CHECK(outcomeOf(Bytes, /*Resets=*/true).Fault == HttpFault::Interrupted);
+  }
+}
+
+TEST_CASE("An answer without a length that is reset under an upload is a "
+          "fault") {
+  constexpr size_t UploadBytes = 8U << 20;
+  CHECK(outcomeOf(Success + "\r\nhalf", /*Resets=*/true,
+                  std::string(UploadBytes, 'u'))
+            .Fault == HttpFault::Interrupted);
+}
+
+// The bytes were kept until the process ran out of memory.
+TEST_CASE("An answer without end is given up") {
+  constexpr size_t MaxBytes = 256U << 20;
+  const std::string Chunked = Success + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string Line(60000, 'x');
+  std::string Lines;
+  while (Lines.size() < Line.size())
+    Lines += "X: y\r\n";
+  for (const auto &[Begin, Flood] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"", Line},
+           {"HTTP/1.1 200 ", Line},
+           {Success + "X: ", Line},
+           {Success, Lines},
+           {Chunked + "1;", Line},
+           {Chunked + "0\r\n", Lines},
+           {Success + "\r\n", Line},
+           {Success + "Content-Length: 999999999999\r\n\r\n", Line}}) {
+    CAPTURE(Begin, Flood.substr(0, 10));
+    SilentServer Server;
+    size_t Sent = 0;
+    std::thread Flooder(
+        [&] { Sent = Server.floodNextConnection(Begin, Flood, MaxBytes); });
+    HttpOutcome Outcome = HttpClientPool().call(Server.address(), HttpCall());
+    Flooder.join();
+    CHECK(Outcome.Fault == HttpFault::Interrupted);
+    CHECK(Sent < MaxBytes);
+  }
+}
