Encode the paths of the entry daemon's calls

What callers saw: nothing yet; found while reading, before any landing.

Why it works: whatever is not a visible ASCII character is encoded, and fields with line breaks are left out as before.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -9,6 +9,7 @@
 
 #include "berylramp/http.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
@@ -130,11 +131,31 @@
 
 using ConnectionHandle = std::unique_ptr<ClientConnection>;
 
+/// Encodes what would end the target or the line; a part that is encoded stays
+/// as it is.
+std::string encodeTarget(absl::string_view Path) {
+  std::string Target;
+  for (char Byte : Path)
+    if (absl::ascii_isgraph(static_cast<unsigned char>(Byte)))
+      Target += Byte;
+    else
+      absl::StrAppend(&Target, "%",
+                      absl::Hex(static_cast<uint8_t>(Byte), absl::kZeroPad2));
+  return Target;
+}
+
+bool hasLineBreak(absl::string_view Text) {
+  return Text.find_first_of("\r\n") != absl::string_view::npos;
+}
+
 std::string requestText(const Endpoint &Target, const HttpCall &Call) {
-  std::string Text = absl::StrCat(Call.Method, " ", Call.Path, " HTTP/1.1\r\n");
+  std::string Text =
+      absl::StrCat(Call.Method, " ", encodeTarget(Call.Path), " HTTP/1.1\r\n");
   std::vector<HeaderField> Fields = {{"Host", Target.text()}};
   bool HasType = false;
   for (const HeaderLine &Line : Call.Headers) {
+    if (hasLineBreak(Line.Name) || hasLineBreak(Line.Value))
+      continue;
     HasType = HasType || absl::EqualsIgnoreCase(Line.Name, "Content-Type");
     Fields.emplace_back(Line.Name, Line.Value);
   }
--- a/test/upstream_adapter_test.cpp
+++ b/test/upstream_adapter_test.cpp
@@ -64,6 +64,22 @@
     return Sent;
   }
 
+  /// Accepts the next connection, returns the request that has arrived, and
+  /// closes it.
+  std::string receiveRequest() const {
+    int Connection = accept(this->Descriptor, nullptr, nullptr);
+    std::string Request;
+    while (Request.find("\r\n\r\n") == std::string::npos) {
+      std::array<char, 1024> Part{};
+      ssize_t Count = recv(Connection, Part.data(), Part.size(), 0);
+      if (Count <= 0)
+        break;
+      Request.append(Part.data(), static_cast<size_t>(Count));
+    }
+    close(Connection);
+    return Request;
+  }
+
   /// Accepts the next connection, sends \p Bytes once a part of a request has
   /// arrived, and resets it.
   void resetNextConnection(const std::string &Bytes) const {
@@ -230,3 +246,19 @@
     CHECK(Sent < MaxBytes);
   }
 }
+
+TEST_CASE("A path or a header of a call begins no other request") {
+  SilentServer Server;
+  HttpCall Call;
+  Call.Path = "/a b\r\nX: y\r\n\r\nGET /inner?q=%20\xc3\xa9";
+  Call.Headers = {
+      {"Sound", "yes"}, {"Broken", "a\r\nX: y"}, {"Broken\r\nX", "y"}};
+  std::string Request;
+  std::thread Receiver([&] { Request = Server.receiveRequest(); });
+  HttpClientPool().call(Server.address(), Call);
+  Receiver.join();
+  CHECK(Request.substr(0, Request.find("\r\nHost")) ==
+        "GET /a%20b%0d%0aX:%20y%0d%0a%0d%0aGET%20/inner?q=%20%c3%a9 HTTP/1.1");
+  CHECK(Request.find("\r\nSound: yes\r\n") != std::string::npos);
+  CHECK(Request.find("Broken") == std::string::npos);
+}
