Test the framing of forwarded requests

Towards replicas: whatever a caller states, a forwarded request has one length, that of its body, and no field of the caller's connection.

--- a/test/framing_test.cpp
+++ b/test/framing_test.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "edge_fixture.h"
+#include "forwarding.h"
 #include "http_parse.h"
 
 #include "absl/strings/match.h"
@@ -169,6 +170,33 @@
   CHECK(this->runCount("inner") == 0);
 }
 
+TEST_CASE("A forwarded request states the length of its body once") {
+  HeaderNames Names = platform::codec().Headers;
+  for (const char *Body : {"", "abc"}) {
+    CallerRequest Request;
+    Request.Method = "POST";
+    Request.Target = "/once/a";
+    Request.Headers = {{"Host", "api.test"},
+                       {"Connection", "Content-Length, close"},
+                       {"Content-Length", "77"},
+                       {"content-length", "78"},
+                       {"Transfer-Encoding", "chunked"},
+                       {"TE", "trailers"},
+                       {"Trailer", "X"},
+                       {"Upgrade", "h2c"},
+                       {"Expect", "100-continue"}};
+    Request.Body = Body;
+    std::string Head = forwardedHead(Request, Names, ForwardOverrides());
+    CAPTURE(Head);
+    for (const char *Name : {"Transfer-Encoding", "TE:", "Trailer", "Upgrade",
+                             "Expect:", "Connection", "77", "78"})
+      CHECK_FALSE(absl::StrContains(Head, Name));
+    std::string Length =
+        absl::StrCat("Content-Length: ", Request.Body.size(), "\r\n");
+    CHECK(absl::EndsWith(Head, Length + "\r\n"));
+  }
+}
+
 // A body in a coding that nobody removes reached callers as the answer.
 TEST_CASE("An answer whose transfer coding is not chunks is malformed") {
   for (const char *Coding :
