Count the heads of answers while they are incomplete

What callers saw: nothing was reported here. Of 800 requests on a host of 88 MB, each with a head of 60 KB that stops before its end, the process grew by 63 MB until the deadlines passed.

Cause: the buffer of an incomplete head is limited to 80 KB, but was not counted.

Why it works: it counts as an incomplete answer; beyond the bounds, heads of more than 8 KB are given up and logged. A buffer that a long head enlarged is not kept with an idle connection.

All 72 tests of the five files near the change pass.

--- a/src/exchange/relay_path.cpp
+++ b/src/exchange/relay_path.cpp
@@ -74,8 +74,8 @@
                  : std::make_shared<UpstreamConnection>(this->Core.Loop,
                                                         Target.Entry.Address);
   }
-  NewAttempt.Connection->countUnsent(this->Core.Memory, this->owner(),
-                                     this->RequestId);
+  NewAttempt.Connection->countBytes(this->Core.Memory, this->owner(),
+                                    this->RequestId);
 }
 
 void Relay::onAttemptConnected(Attempt &Source) {
--- a/src/exchange/upstream_connection.cpp
+++ b/src/exchange/upstream_connection.cpp
@@ -8,6 +8,7 @@
 #include "upstream_connection.h"
 
 #include "absl/strings/numbers.h"
+#include "berylramp/json.h"
 #include <algorithm>
 
 namespace berylramp {
@@ -17,6 +18,8 @@
 /// Maximum idle connections per replica; more would only occupy the replica's
 /// file descriptors.
 constexpr size_t MaxIdlePerReplica = 8;
+/// A header of this length is received even if the host holds too many bytes.
+constexpr size_t UsualHeadBytes = 8U << 10;
 /// Share of the replica's announced idle timeout during which a connection is
 /// reused. Later, the replica is too likely to close it while a request is in
 /// transit.
@@ -57,11 +60,14 @@
   return "";
 }
 
-void UpstreamConnection::countUnsent(const HeldMemoryPtr &Memory,
-                                     uint64_t Owner,
-                                     const std::string &RequestId) {
+void UpstreamConnection::countBytes(const HeldMemoryPtr &NewMemory,
+                                    uint64_t Owner,
+                                    const std::string &RequestId) {
+  this->Memory = NewMemory;
+  this->HeldHead = std::make_unique<HeldBytes>(this->Memory, HeldKind::Answer);
+  this->HeldHead->identify(Owner, RequestId);
   HeldBytes &Held =
-      this->Transport->countUnsent(Memory, HeldKind::ReplicaOutput);
+      this->Transport->countUnsent(this->Memory, HeldKind::ReplicaOutput);
   Held.identify(Owner, RequestId);
   Held.setEnd([Weak = this->weak_from_this()] {
     if (auto Self = Weak.lock())
@@ -69,7 +75,7 @@
   });
   if (this->isTunnel())
     this->HeldUnsent =
-        std::make_unique<HeldBytes>(Memory, HeldKind::ReplicaOutput);
+        std::make_unique<HeldBytes>(this->Memory, HeldKind::ReplicaOutput);
 }
 
 void UpstreamConnection::start(std::string Bytes, bool WithoutBody,
@@ -98,6 +104,8 @@
 
 void UpstreamConnection::cancel() {
   this->Listener.reset();
+  this->Buffer.clear();
+  this->releaseHead();
   this->Busy = false;
   this->Reusable = false;
   this->Transport->close();
@@ -174,11 +182,48 @@
     this->fail(ConnectionFault::Malformed);
     return;
   }
+  if (!this->holdHead()) {
+    this->logHeadWithoutRoom();
+    this->fail(ConnectionFault::Malformed);
+    return;
+  }
   this->deliver();
   if (this->Busy && this->Parser->done())
     this->finish();
 }
 
+bool UpstreamConnection::holdHead() {
+  if (this->HeldHead == nullptr)
+    return true;
+  if (this->Parser->headDone()) {
+    this->releaseHead();
+    return true;
+  }
+  size_t Bytes = this->Buffer.capacity();
+  this->HeldHead->set(static_cast<int64_t>(Bytes));
+  const MemoryAccount &Account = this->Memory->account();
+  bool HasRoom = Account.of(HeldKind::Answer) <= Account.bounds().Answers &&
+                 Account.admits(0);
+  return Bytes <= UsualHeadBytes || HasRoom;
+}
+
+void UpstreamConnection::releaseHead() {
+  if (this->HeldHead == nullptr || this->HeldHead->count() == 0)
+    return;
+  this->HeldHead->set(0);
+  // What a long header took is not kept for the rest of the connection.
+  this->Buffer.shrink_to_fit();
+}
+
+void UpstreamConnection::logHeadWithoutRoom() const {
+  Json::Value Line(Json::objectValue);
+  Line["upstream"] = this->Remote.text();
+  Line["part"] = "header";
+  Line["held_bytes"] = Json::Int64(this->HeldHead->count());
+  Line["limit_bytes"] = Json::Int64(this->Memory->account().bounds().Answers);
+  logEvent(LogLevel::Warn, "answer_too_long", Line);
+}
+
 void UpstreamConnection::deliver() {
   if (!this->Parser->headDone())
     return;
@@ -237,6 +282,8 @@
 
 void UpstreamConnection::fail(ConnectionFault Fault) {
   auto Self = this->shared_from_this();
+  this->Buffer.clear();
+  this->releaseHead();
   this->Busy = false;
   this->Reusable = false;
   this->Transport->close();
--- a/src/exchange/upstream_connection.h
+++ b/src/exchange/upstream_connection.h
@@ -69,9 +69,10 @@
       : Transport(std::make_shared<Channel>(Loop)), Remote(std::move(Peer)),
         TunnelTo(Replica), Tunnel(std::make_unique<TunnelReader>()) {}
 
-  /// Counts the bytes of requests of \p Owner that the replica has not read.
-  void countUnsent(const HeldMemoryPtr &Memory, uint64_t Owner,
-                   const std::string &RequestId);
+  /// Counts the bytes of a request of \p Owner that the replica has not read,
+  /// and those of the header of its answer.
+  void countBytes(const HeldMemoryPtr &Memory, uint64_t Owner,
+                  const std::string &RequestId);
   /// Sends one request; \p WithoutBody states that its answer has no body.
   void start(std::string Bytes, bool WithoutBody,
              std::weak_ptr<AnswerListener> NewListener);
@@ -104,6 +105,10 @@
   void onEstablished();
   void readTunnelAnswer();
   void readAnswer();
+  /// Counts an incomplete header; false if there is no memory for it.
+  bool holdHead();
+  void releaseHead();
+  void logHeadWithoutRoom() const;
   void onReplicaClosed();
   void deliver();
   void finish();
@@ -120,6 +125,8 @@
   std::unique_ptr<AnswerParser> Parser;
   std::weak_ptr<AnswerListener> Listener;
   std::string Buffer;
+  HeldMemoryPtr Memory;
+  std::unique_ptr<HeldBytes> HeldHead;
   bool Connected = false;
   bool Connecting = false;
   bool Busy = false;
--- a/test/edge_flood_test.cpp
+++ b/test/edge_flood_test.cpp
@@ -70,6 +70,33 @@
   CHECK(Peak - Before < HostMemory / 2);
 }
 
+// Heads that are incomplete were not counted, 80 KB and more for each request.
+TEST_CASE_METHOD(FloodFixture,
+                 "Many heads without end stay within the memory of the host") {
+  constexpr int CallerCount = 800;
+  constexpr size_t HeadBytes = 60U << 10;
+  for (const auto &Instance : this->PlainReplicas) {
+    Instance->Behavior = ReplicaBehavior::FollowsScript;
+    Instance->Script.Bytes =
+        absl::StrCat("HTTP/1.1 200 OK\r\nX: ", std::string(HeadBytes, 'y'));
+    Instance->Slots = CallerCount;
+  }
+  this->putReplicas();
+  this->runFor(absl::Seconds(1));
+  int64_t Before = residentBytes();
+  std::vector<RawCaller> Callers = this->sendAll("/once/a", CallerCount);
+  int64_t Peak = 0;
+  for (const RawCaller &Caller : Callers) {
+    CHECK(this->runUntil([&] {
+      Peak = std::max(Peak, residentBytes());
+      return Caller.hasCompleteAnswer() || Caller.isClosed();
+    }));
+    CHECK(Caller.status() >= 500);
+  }
+  CAPTURE(Peak >> 20, Before >> 20);
+  CHECK(Peak - Before < HostMemory / 2);
+}
+
 TEST_CASE_METHOD(FloodFixture,
                  "An event without end does not reach the caller") {
   this->misbehave(ReplicaBehavior::EndlessEvent);
--- a/test/path_controller_test.cpp
+++ b/test/path_controller_test.cpp
@@ -59,6 +59,7 @@
       return this->Other->Registry.find(*this->Other->Registry.idOf(Hash))
           ->Entry.Address;
     };
+    Hooks.RejectsNew = [] { return false; };
     Hooks.OnReached = [](const PathTarget &) {};
     Hooks.OnUnreached = [](const PathTarget &, Instant, bool) {};
     Hooks.ExplainRefusal = [this](const PathTarget &Target,
--- a/test/slow_reader_test.cpp
+++ b/test/slow_reader_test.cpp
@@ -320,7 +320,7 @@
     Receivers.push_back(std::make_shared<Receiver>());
     Connections.push_back(std::make_shared<UpstreamConnection>(
         this->Loop, Endpoint{"127.0.0.1", Replica.local_endpoint().port()}));
-    Connections.back()->countUnsent(this->Memory, 0, absl::StrCat(Index));
+    Connections.back()->countBytes(this->Memory, 0, absl::StrCat(Index));
     Connections.back()->start(std::string(2U << 20, 'x'), false,
                               Receivers.back());
     this->runUntil([&] { return Connections.back()->isConnected(); });
