Close the entry daemon's connections after surplus bytes

What callers saw: nothing yet; found while reading, before any landing. The rest of a second answer could have been read as the next one's.

Cause: what followed an answer in the same read was dropped, and the connection kept.

Why it works: a connection returns to the pool only if nothing followed.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -15,10 +15,11 @@
 #include "absl/strings/strip.h"
 #include "berylramp/sync.h"
 #include "http_parse.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <cerrno>
 #include <map>
-#include <netinet/tcp.h>
 #include <poll.h>
 
 namespace berylramp {
@@ -177,12 +178,12 @@
 /// Receives the part of a body that has arrived; false gives the answer up.
 using BodySink = std::function<bool(int Status, const std::string &Part)>;
 
-/// Receives the answer to a call. Its body goes to \p OnBody. \p MayEndAtClose
-/// states that an orderly close is the server's.
+/// Receives the answer to a call. Its body goes to \p OnBody, and what follows
+/// it stays in \p Buffer. \p MayEndAtClose states that an orderly close is the
+/// server's.
 HttpOutcome receiveAnswer(ClientConnection &Connection, AnswerParser &Parser,
                           absl::Duration Timeout, bool MayEndAtClose,
-                          const BodySink &OnBody) {
-  std::string Buffer;
+                          std::string &Buffer, const BodySink &OnBody) {
   while (!Parser.done()) {
     ErrorCode Error = Connection.receive(Buffer, Timeout);
     bool IsClosed = Error == boost::asio::error::eof;
@@ -264,9 +265,11 @@
     }
     bool IsSent = Connection->send(requestText(Target, Call), Call.ReadTimeout);
     AnswerParser Parser(/*WithoutBody=*/Call.Method == "HEAD");
-    HttpOutcome Outcome =
-        receiveAnswer(*Connection, Parser, Call.ReadTimeout, IsSent, OnBody);
-    if (Outcome.Fault == HttpFault::None && IsSent && Parser.keepAlive())
+    std::string Buffer;
+    HttpOutcome Outcome = receiveAnswer(*Connection, Parser, Call.ReadTimeout,
+                                        IsSent, Buffer, OnBody);
+    bool MayFollow = IsSent && Parser.keepAlive() && Buffer.empty();
+    if (Outcome.Fault == HttpFault::None && MayFollow)
       this->release(Target, std::move(Connection));
     return Outcome;
   }
--- a/test/upstream_adapter_test.cpp
+++ b/test/upstream_adapter_test.cpp
@@ -64,6 +64,23 @@
     return Sent;
   }
 
+  /// Accepts two connections and sends an answer on each as soon as it is open.
+  void answerTwice(const std::string &First, const std::string &Second) const {
+    int Connections[2] = {};
+    int Index = 0;
+    for (const std::string &Answer : {First, Second}) {
+      Connections[Index] = accept(this->Descriptor, nullptr, nullptr);
+      send(Connections[Index], Answer.data(), Answer.size(), MSG_NOSIGNAL);
+      Index += 1;
+    }
+    for (int Connection : Connections) {
+      std::array<char, 1024> Request{};
+      while (recv(Connection, Request.data(), Request.size(), 0) > 0) {
+      }
+      close(Connection);
+    }
+  }
+
   /// Accepts the next connection, returns the request that has arrived, and
   /// closes it.
   std::string receiveRequest() const {
@@ -262,3 +279,19 @@
   CHECK(Request.find("\r\nSound: yes\r\n") != std::string::npos);
   CHECK(Request.find("Broken") == std::string::npos);
 }
+
+TEST_CASE("Bytes after an answer do not reach the next call") {
+  SilentServer Server;
+  auto Answer = [](const std::string &Body) {
+    return Success + "Content-Length: 5\r\n\r\n" + Body;
+  };
+  std::thread Answerer([&] {
+    Server.answerTwice(Answer("first") + Answer("stale"), Answer("fresh"));
+  });
+  {
+    HttpClientPool Pool;
+    CHECK(Pool.call(Server.address(), HttpCall()).Body == "first");
+    CHECK(Pool.call(Server.address(), HttpCall()).Body == "fresh");
+  }
+  Answerer.join();
+}
