--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in split_answer; do
+for name in raised_limit split_answer; do
   g++ -std=c++17 -O1 -Wall -Wextra -pthread -o "target/review-3/$name" \
     "review/standin-3/$name.cpp" review/standin-3/standin.cpp
 done
